--- /dev/null
+++ b/src/main/kotlin/wardmux/Core.kt
@@ -0,0 +1,111 @@
+package wardmux
+
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
+
+/** Who a request goes to. */
+sealed interface Target {
+    data object State : Target
+
+    data object Cloud : Target
+
+    data class Sibling(val member: String) : Target
+}
+
+/** The listening side a call came in on. */
+enum class Port {
+    API,
+    PEER,
+}
+
+/** What happens to the core. */
+sealed interface Input {
+    /** Time has passed; sent several times a second. */
+    data object Tick : Input
+
+    class Call(val id: Long, val port: Port, val method: String, val path: String, val body: ByteArray) :
+        Input
+
+    class Reply(val id: Long, val outcome: Outcome) : Input
+}
+
+/** What became of a request. */
+sealed interface Outcome {
+    class Response(val status: Int, val body: ByteArray) : Outcome {
+        val text: String
+            get() = body.decodeToString()
+    }
+
+    /** No response: it may have happened, or may still happen. */
+    data object Unknown : Outcome
+}
+
+/** What the core wants done. */
+sealed interface Effect {
+    class Answer(val id: Long, val status: Int, val body: ByteArray, val retryAfterS: Int? = null) : Effect
+
+    class Send(
+        val id: Long,
+        val target: Target,
+        val method: String,
+        val path: String,
+        val body: ByteArray,
+        val timeout: Micros,
+    ) : Effect
+}
+
+/**
+ * What the slices of one core share: the time of the input being handled and the effects it gives.
+ * Knows no socket, clock or thread.
+ */
+class Desk(private val effects: MutableList<Effect> = ArrayList()) {
+    /** Steady time. */
+    var now = Micros.ZERO
+        private set
+
+    /** Time of day, good to the bound that the settings give. */
+    var wall = Micros.ZERO
+        private set
+
+    private var lastRequest = 0L
+    private val waiting = HashMap<Long, (Outcome) -> Unit>()
+
+    fun at(now: Micros, wall: Micros) {
+        this.now = now
+        this.wall = wall
+    }
+
+    fun send(
+        target: Target,
+        method: String,
+        path: String,
+        body: ByteArray,
+        timeout: Micros,
+        then: (Outcome) -> Unit,
+    ) {
+        val id = ++lastRequest
+        waiting[id] = then
+        effects.add(Effect.Send(id, target, method, path, body, timeout))
+    }
+
+    fun settle(reply: Input.Reply) {
+        waiting.remove(reply.id)?.invoke(reply.outcome)
+    }
+
+    fun answer(id: Long, status: Int, body: String = "", retryAfterS: Int? = null) {
+        effects.add(Effect.Answer(id, status, body.encodeToByteArray(), retryAfterS))
+    }
+
+    fun answerBytes(id: Long, status: Int, body: ByteArray) {
+        effects.add(Effect.Answer(id, status, body))
+    }
+
+    fun take(): List<Effect> {
+        if (effects.isEmpty()) return emptyList()
+        val taken = ArrayList(effects)
+        effects.clear()
+        return taken
+    }
+}
+
+inline fun <reified T> logger(): Logger = LoggerFactory.getLogger(T::class.java.simpleName)
--- /dev/null
+++ b/src/main/kotlin/wardmux/Units.kt
@@ -0,0 +1,75 @@
+package wardmux
+
+import kotlin.math.roundToLong
+
+/** A duration or a point on a steady clock, in whole microseconds. */
+@JvmInline
+value class Micros(val value: Long) : Comparable<Micros> {
+    operator fun plus(other: Micros) = Micros(value + other.value)
+
+    operator fun minus(other: Micros) = Micros(value - other.value)
+
+    operator fun times(factor: Double) = Micros((value * factor).roundToLong())
+
+    override fun compareTo(other: Micros) = value.compareTo(other.value)
+
+    val seconds: Double
+        get() = value / 1e6
+
+    override fun toString() = "${value}us"
+
+    companion object {
+        val ZERO = Micros(0)
+        val NEVER = Micros(Long.MAX_VALUE / 4)
+        val LONG_AGO = Micros(-(Long.MAX_VALUE / 4))
+    }
+}
+
+val Int.millis: Micros
+    get() = Micros(this * 1_000L)
+
+val Int.secs: Micros
+    get() = Micros(this * 1_000_000L)
+
+val Double.secs: Micros
+    get() = Micros((this * 1e6).roundToLong())
+
+@JvmInline
+value class JobId(val value: String) {
+    override fun toString() = value
+}
+
+/** Task [index] of a job; on the wire `job-000412/3`. */
+data class TaskId(val job: JobId, val index: Int) {
+    override fun toString() = "${job.value}/$index"
+
+    companion object {
+        fun parse(text: String): TaskId? {
+            val slash = text.lastIndexOf('/')
+            if (slash <= 0) return null
+            val index = text.substring(slash + 1).toIntOrNull() ?: return null
+            return TaskId(JobId(text.substring(0, slash)), index)
+        }
+    }
+}
+
+@JvmInline
+value class MachineId(val value: String) {
+    override fun toString() = value
+}
+
+/** Identifies who is entitled to give orders; the revision of the write that took leadership. */
+@JvmInline
+value class Token(val value: Long) : Comparable<Token> {
+    override fun compareTo(other: Token) = value.compareTo(other.value)
+
+    override fun toString() = value.toString()
+}
+
+/** Revision of a key's last change in the state service; [ABSENT] means that it does not exist. */
+@JvmInline
+value class Stamp(val value: Long) {
+    companion object {
+        val ABSENT = Stamp(0)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/app/Controller.kt
@@ -0,0 +1,172 @@
+package wardmux.app
+
+import java.net.URLDecoder
+import kotlinx.serialization.SerializationException
+import wardmux.Desk
+import wardmux.Effect
+import wardmux.Input
+import wardmux.JobId
+import wardmux.Micros
+import wardmux.Port
+import wardmux.Token
+import wardmux.cloud.CloudClient
+import wardmux.cloud.TypeBook
+import wardmux.fleet.Redirect
+import wardmux.fleet.Report
+import wardmux.intake.Intake
+import wardmux.intake.SubmissionReader
+import wardmux.lead.Leadership
+import wardmux.lead.Role
+import wardmux.lead.Term
+import wardmux.logger
+import wardmux.peers.BeatCodec
+import wardmux.peers.Peers
+import wardmux.secs
+import wardmux.store.StateStore
+import wardmux.store.lenientJson
+
+/**
+ * One controller as a state machine: takes inputs with their time, returns what to send and answer.
+ */
+class Controller(
+    private val platform: PlatformSettings,
+    private val operators: OperatorSettings,
+    seed: Long,
+) {
+    private val log = logger<Controller>()
+    private val desk = Desk()
+    private val store = StateStore(desk, platform.facts.state, platform.facts.nodes)
+    private val cloud = CloudClient(desk, platform.facts.cloud.rps)
+    private val types = TypeBook(desk, store, cloud)
+    private val peers = Peers(desk, platform.member, platform.siblings.map { it.member })
+    private val intake = Intake(desk, store, types, platform.facts.teams, ::progressOf)
+    private var term: Term? = null
+    private val leadership =
+        Leadership(
+            desk,
+            store,
+            platform.member,
+            boot = seed,
+            life = operators.leaderLeaseS.secs,
+            listener =
+                object : Leadership.Listener {
+                    override fun elected(role: Role.Leader) = begin(role)
+
+                    override fun deposed() = end()
+                },
+        )
+
+    private fun begin(role: Role.Leader) {
+        term =
+            Term(
+                desk,
+                store,
+                leadership,
+                role,
+                types,
+                cloud,
+                platform,
+                operators,
+                intake::learnFinal,
+            )
+    }
+
+    private fun end() {
+        term?.end()
+        term = null
+    }
+
+    private fun progressOf(id: JobId) =
+        term?.progressOf(id) ?: peers.progressOf(id.value)
+
+    fun handle(now: Micros, wall: Micros, input: Input): List<Effect> {
+        desk.at(now, wall)
+        when (input) {
+            is Input.Tick -> tick()
+            is Input.Call -> call(input)
+            is Input.Reply -> desk.settle(input)
+        }
+        store.pump()
+        return desk.take()
+    }
+
+    /** What an input that went wrong half-way has given so far. */
+    fun abandon(): List<Effect> = desk.take()
+
+    private fun tick() {
+        leadership.tick()
+        types.tick(leading = term != null)
+        val current = term ?: return
+        current.tick()
+        val role = leadership.role as? Role.Leader ?: return
+        peers.lead(role.token, current::progress)
+    }
+
+    private fun call(call: Input.Call) {
+        val path = call.path.substringBefore('?')
+        if (call.port == Port.PEER) return peerCall(call, path)
+        val parts = path.removePrefix("/").split('/')
+        when {
+            path == "/ready" -> only("GET", call) { ready(call.id) }
+            path == "/hello" -> only("POST", call) { hello(call) }
+            path == "/submissions" -> only("POST", call) { intake.submit(call.id, call.body) }
+            parts.size == 2 && parts[0] == "submissions" ->
+                only("GET", call) { known(call, parts[1]) { intake.poll(call.id, it) } }
+            parts.size == 3 && parts[0] == "submissions" && parts[2] == "abort" ->
+                only("POST", call) { known(call, parts[1]) { intake.abort(call.id, it) } }
+            else -> desk.answer(call.id, 404, """{"error":"no such path"}""")
+        }
+    }
+
+    private fun only(method: String, call: Input.Call, handle: () -> Unit) {
+        if (call.method == method) handle()
+        else desk.answer(call.id, 405, """{"error":"use $method"}""")
+    }
+
+    /** An id that is not of the given form was never accepted. */
+    private fun known(call: Input.Call, text: String, handle: (JobId) -> Unit) {
+        val id =
+            try {
+                URLDecoder.decode(text, Charsets.UTF_8)
+            } catch (e: IllegalArgumentException) {
+                text
+            }
+        if (SubmissionReader.isId(id)) handle(JobId(id))
+        else desk.answer(call.id, 404, """{"error":"unknown job"}""")
+    }
+
+    /** Ready once jobs can be decided on; in an outage users are told when to come back. */
+    private fun ready(call: Long) {
+        if (types.types != null) desk.answer(call, 200, """{"ready":true}""")
+        else desk.answer(call, 503, """{"ready":false}""", 1)
+    }
+
+    private fun hello(call: Input.Call) {
+        val report =
+            try {
+                lenientJson.decodeFromString(Report.serializer(), call.body.decodeToString())
+            } catch (e: SerializationException) {
+                return desk.answer(call.id, 400, """{"error":"not a report"}""")
+            } catch (e: IllegalArgumentException) {
+                return desk.answer(call.id, 400, """{"error":"not a report"}""")
+            }
+        leadership.seen(Token(report.token))
+        val current = term
+        if (current != null) return current.hello(call.id, report)
+        val leader = (leadership.role as? Role.Follower)?.leader
+        if (leader == null || leader == platform.member) {
+            desk.answer(call.id, 503)
+        } else {
+            val body = lenientJson.encodeToString(Redirect.serializer(), Redirect(leader))
+            desk.answer(call.id, 421, body)
+        }
+    }
+
+    private fun peerCall(call: Input.Call, path: String) {
+        val beat = if (path == Peers.PATH) BeatCodec.decode(call.body) else null
+        if (beat == null) return desk.answer(call.id, 400)
+        leadership.heard(beat.member, Token(beat.token))
+        if (term == null) peers.received(beat)
+        desk.answer(call.id, 200)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/app/Daemon.kt
@@ -0,0 +1,100 @@
+package wardmux.app
+
+import io.netty.channel.nio.NioEventLoopGroup
+import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+import wardmux.Effect
+import wardmux.Input
+import wardmux.Micros
+import wardmux.Port
+import wardmux.Target
+import wardmux.http.HttpClient
+import wardmux.http.HttpServer
+import wardmux.logger
+import wardmux.millis
+
+/** Binds the core to sockets and clocks; one event loop owns both. */
+class Daemon(private val platform: PlatformSettings, private val operators: OperatorSettings) {
+    private val log = logger<Daemon>()
+    private val group = NioEventLoopGroup(1)
+    private val seed = if (operators.seed != 0L) operators.seed else System.nanoTime()
+    private val core = Controller(platform, operators, seed)
+    private val limit = platform.facts.limits.fdLimit
+    private val server =
+        HttpServer(group, limit - RESERVED_SOCKETS.coerceAtMost(limit / 2), IDLE_SECONDS) { arrival ->
+            feed(Input.Call(arrival.id, arrival.port, arrival.method, arrival.path, arrival.body))
+        }
+    private val clients = HashMap<Target, HttpClient>()
+
+    init {
+        fun client(target: Target, text: String, connections: Int) {
+            val address = requireNotNull(SettingsFiles.address(text))
+            clients[target] = HttpClient(group, address, connections, MAX_RESPONSE_BYTES)
+        }
+        client(Target.State, platform.services.state, STATE_CONNECTIONS)
+        client(Target.Cloud, platform.services.cloud, CLOUD_CONNECTIONS)
+        for (sibling in platform.siblings) {
+            client(Target.Sibling(sibling.member), sibling.address, SIBLING_CONNECTIONS)
+        }
+    }
+
+    fun run() {
+        val loop = group.next()
+        loop.submit {
+                loop.scheduleWithFixedDelay(
+                    { feed(Input.Tick) },
+                    0,
+                    TICK.value,
+                    TimeUnit.MICROSECONDS,
+                )
+            }
+            .sync()
+        bind(platform.peerAddress, Port.PEER)
+        val api = bind(platform.apiAddress, Port.API)
+        log.info("{} listens for users on {}", platform.member, platform.apiAddress)
+        api.closeFuture().sync()
+    }
+
+    private fun bind(text: String, port: Port) =
+        server.listen(requireNotNull(SettingsFiles.address(text)) as InetSocketAddress, port)
+
+    private fun feed(input: Input) {
+        val effects =
+            try {
+                val now = Micros(System.nanoTime() / 1_000)
+                val wall = Micros(System.currentTimeMillis() * 1_000)
+                core.handle(now, wall, input)
+            } catch (e: Exception) {
+                // A mistake in handling one input must not take the controller down with all users.
+                log.error("input dropped", e)
+                core.abandon()
+            }
+        for (effect in effects) perform(effect)
+    }
+
+    private fun perform(effect: Effect) {
+        when (effect) {
+            is Effect.Answer ->
+                server.answer(effect.id, effect.status, effect.body, effect.retryAfterS)
+            is Effect.Send ->
+                clients.getValue(effect.target).send(
+                    effect.method,
+                    effect.path,
+                    effect.body,
+                    effect.timeout,
+                ) { outcome ->
+                    feed(Input.Reply(effect.id, outcome))
+                }
+        }
+    }
+
+    private companion object {
+        val TICK = 100.millis
+        const val IDLE_SECONDS = 90L
+        const val RESERVED_SOCKETS = 128
+        const val STATE_CONNECTIONS = 24
+        const val CLOUD_CONNECTIONS = 4
+        const val SIBLING_CONNECTIONS = 2
+        const val MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/app/Main.kt
@@ -0,0 +1,9 @@
+package wardmux.app
+
+import kotlin.system.exitProcess
+import picocli.CommandLine
+
+fun main(arguments: Array<String>) {
+    Logs.configure(System.getenv("LOG_LEVEL"))
+    exitProcess(CommandLine(WardmuxCommand()).execute(*arguments))
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/app/Rehearsal.kt
@@ -0,0 +1,78 @@
+package wardmux.app
+
+object Rehearsal {
+    fun run() {
+        val dir = kotlin.io.path.createTempDirectory("wardmux").toFile()
+        val file = dir.resolve("settings.toml")
+        file.writeText(SAMPLE)
+        val platform = SettingsFiles.platform(file)
+        dir.deleteRecursively()
+        val daemon = Thread { Daemon(platform, OperatorSettings()).run() }
+        daemon.isDaemon = true
+        daemon.start()
+        Thread.sleep(1_500)
+    }
+
+    private val SAMPLE =
+        """
+        member = "wardbox-0"
+        site = "a"
+        api_addr = "127.0.0.1:18080"
+        peer_bind = "127.0.0.1:18081"
+
+        [[siblings]]
+        member = "wardbox-1"
+        site = "b"
+        addr = "127.0.0.1:18083"
+
+        [services]
+        cloud = "127.0.0.1:18084"
+        state = "127.0.0.1:18085"
+
+        [facts]
+        nodes = 3
+        zones = ["a", "b"]
+        clock_error_ms = 100.0
+
+        [[facts.teams]]
+        name = "team-0"
+        cpus = 40.0
+        cpus_max = 96.0
+        gpus = 0.0
+        gpus_max = 0.0
+
+        [[facts.teams]]
+        name = "team-1"
+        cpus = 40.0
+        cpus_max = 96.0
+        gpus = 0.0
+        gpus_max = 0.0
+
+        [[facts.objectives]]
+        kind = "deadline"
+        class = "x"
+        share = 0.78
+        times = 1.0
+
+        [facts.workers]
+        report_s = 2.5
+        lease_s = 16.0
+        cancel_s = 36.0
+
+        [facts.state]
+        rps = 150.0
+        write_rps = 60.0
+        value_kb = 16.0
+        txn_ops = 48
+
+        [facts.cloud]
+        rps = 6.0
+        list_lag_s = 6.0
+
+        [facts.limits]
+        cpu = 0.25
+        ram_mb = 268.0
+        fd_limit = 1800
+        """
+            .trimIndent()
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/app/Settings.kt
@@ -0,0 +1,171 @@
+package wardmux.app
+
+import com.akuleshov7.ktoml.Toml
+import com.akuleshov7.ktoml.TomlInputConfig
+import java.io.File
+import java.io.IOException
+import java.net.InetSocketAddress
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+
+/** The file that the platform hands over. Fields that are not named here are ignored. */
+@Serializable
+data class PlatformSettings(
+    val member: String,
+    val site: String,
+    @SerialName("api_addr") val apiAddress: String,
+    @SerialName("peer_bind") val peerAddress: String,
+    val siblings: List<SiblingSettings> = emptyList(),
+    val services: ServiceSettings,
+    val facts: Facts,
+)
+
+@Serializable
+data class SiblingSettings(
+    val member: String,
+    val site: String = "",
+    @SerialName("addr") val address: String,
+)
+
+@Serializable data class ServiceSettings(val cloud: String, val state: String)
+
+@Serializable
+data class Facts(
+    val nodes: Int,
+    val zones: List<String>,
+    @SerialName("clock_error_ms") val clockErrorMs: Double = 0.0,
+    val teams: List<TeamFacts>,
+    val objectives: List<ObjectiveFacts> = emptyList(),
+    val workers: WorkerFacts,
+    val state: StateFacts,
+    val cloud: CloudFacts,
+    val limits: LimitFacts,
+)
+
+@Serializable
+data class TeamFacts(
+    val name: String,
+    val cpus: Double,
+    @SerialName("cpus_max") val cpusMax: Double,
+    val gpus: Double = 0.0,
+    @SerialName("gpus_max") val gpusMax: Double = 0.0,
+)
+
+/** An aim of the users, as the platform states it. */
+@Serializable
+data class ObjectiveFacts(
+    val kind: String = "",
+    @SerialName("class") val jobClass: String = "",
+    @SerialName("within_s") val withinS: Double = 0.0,
+    val share: Double = 0.0,
+    val times: Double = 1.0,
+)
+
+@Serializable
+data class WorkerFacts(
+    @SerialName("report_s") val reportS: Double,
+    @SerialName("lease_s") val leaseS: Double,
+    @SerialName("cancel_s") val cancelS: Double,
+)
+
+@Serializable
+data class StateFacts(
+    val rps: Double,
+    @SerialName("write_rps") val writeRps: Double,
+    @SerialName("value_kb") val valueKb: Double,
+    @SerialName("txn_ops") val txnOps: Int,
+)
+
+@Serializable
+data class CloudFacts(val rps: Double, @SerialName("list_lag_s") val listLagS: Double)
+
+@Serializable
+data class LimitFacts(
+    val cpu: Double = 1.0,
+    @SerialName("ram_mb") val ramMb: Double = 0.0,
+    @SerialName("fd_limit") val fdLimit: Int,
+)
+
+/** A setting is wrong, missing or unreadable; the message is one line that names it. */
+class BadSettings(message: String) : Exception(message)
+
+object SettingsFiles {
+    fun platform(file: File): PlatformSettings {
+        val settings =
+            parse(file) { text ->
+                Toml(TomlInputConfig(ignoreUnknownNames = true))
+                    .decodeFromString(PlatformSettings.serializer(), text)
+            }
+        check(settings, file)
+        return settings
+    }
+
+    fun operators(file: File?): OperatorSettings {
+        if (file == null) return OperatorSettings()
+        val settings =
+            parse(file) { text ->
+                Toml(TomlInputConfig(ignoreUnknownNames = false))
+                    .decodeFromString(OperatorSettings.serializer(), text)
+            }
+        settings.problem()?.let { throw BadSettings("${file.name}: $it") }
+        return settings
+    }
+
+    fun address(text: String): InetSocketAddress? {
+        val colon = text.lastIndexOf(':')
+        val port = text.substring(colon + 1).toIntOrNull() ?: return null
+        if (colon <= 0 || port !in 1..65535) return null
+        return InetSocketAddress(text.substring(0, colon), port)
+    }
+
+    private fun <T> parse(file: File, decode: (String) -> T): T {
+        val text =
+            try {
+                file.readText()
+            } catch (e: IOException) {
+                throw BadSettings("${file.name}: cannot be read: ${firstLine(e)}")
+            }
+        try {
+            return decode(text)
+        } catch (e: SerializationException) {
+            throw BadSettings("${file.name}: ${firstLine(e)}")
+        } catch (e: IllegalArgumentException) {
+            throw BadSettings("${file.name}: ${firstLine(e)}")
+        }
+    }
+
+    private fun firstLine(e: Exception) = (e.message ?: e.toString()).lineSequence().first()
+
+    private fun check(s: PlatformSettings, file: File) {
+        fun need(holds: Boolean, field: String, what: String) {
+            if (!holds) throw BadSettings("${file.name}: $field $what")
+        }
+        fun positive(value: Double, field: String) =
+            need(value.isFinite() && value > 0, field, "must be a number above 0, but is $value")
+
+        need(s.member.isNotBlank(), "member", "must not be empty")
+        val addresses =
+            listOf("api_addr" to s.apiAddress, "peer_bind" to s.peerAddress) +
+                listOf("services.cloud" to s.services.cloud, "services.state" to s.services.state) +
+                s.siblings.map { "siblings.addr" to it.address }
+        for ((field, text) in addresses) {
+            need(address(text) != null, field, "must be HOST:PORT, but is '$text'")
+        }
+        need(s.facts.nodes > 0, "facts.nodes", "must be above 0, but is ${s.facts.nodes}")
+        need(s.facts.zones.isNotEmpty(), "facts.zones", "must name a zone")
+        for (team in s.facts.teams) {
+            need(team.cpus >= 0, "facts.teams.cpus", "must not be negative for ${team.name}")
+            need(team.cpusMax >= 0, "facts.teams.cpus_max", "must not be negative for ${team.name}")
+        }
+        positive(s.facts.workers.reportS, "facts.workers.report_s")
+        positive(s.facts.workers.leaseS, "facts.workers.lease_s")
+        positive(s.facts.workers.cancelS, "facts.workers.cancel_s")
+        positive(s.facts.state.rps, "facts.state.rps")
+        positive(s.facts.state.writeRps, "facts.state.write_rps")
+        positive(s.facts.state.valueKb, "facts.state.value_kb")
+        need(s.facts.state.txnOps >= 4, "facts.state.txn_ops", "must be at least 4")
+        positive(s.facts.cloud.rps, "facts.cloud.rps")
+        need(s.facts.limits.fdLimit > 32, "facts.limits.fd_limit", "must be above 32")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/app/WardmuxCommand.kt
@@ -0,0 +1,105 @@
+package wardmux.app
+
+import java.io.File
+import java.util.concurrent.Callable
+import kotlin.system.exitProcess
+import picocli.CommandLine.Command
+import picocli.CommandLine.IVersionProvider
+import picocli.CommandLine.Mixin
+import picocli.CommandLine.Model.CommandSpec
+import picocli.CommandLine.Option
+import picocli.CommandLine.ParameterException
+import picocli.CommandLine.Spec
+
+/** Root of the command line; an operator's toolbox finds its place beside `serve` and `check`. */
+@Command(
+    name = "wardmux",
+    description = ["A cluster scheduler: runs users' jobs on rented machines, fairly and once."],
+    mixinStandardHelpOptions = true,
+    versionProvider = Version::class,
+    subcommands = [ServeCommand::class, CheckCommand::class, RehearseCommand::class],
+)
+class WardmuxCommand : Runnable {
+    @Spec lateinit var spec: CommandSpec
+
+    override fun run() = throw ParameterException(spec.commandLine(), "Missing command: serve or check")
+}
+
+class Version : IVersionProvider {
+    override fun getVersion(): Array<String> =
+        arrayOf("wardmux ${Version::class.java.`package`.implementationVersion ?: "(unpackaged)"}")
+}
+
+class SettingsOptions {
+    @Option(
+        names = ["--config"],
+        required = true,
+        paramLabel = "FILE",
+        description = ["The settings file that the platform hands over (TOML)."],
+    )
+    lateinit var config: File
+
+    @Option(
+        names = ["--settings"],
+        paramLabel = "FILE",
+        description = ["The operators' own settings (TOML); without it, the defaults hold."],
+    )
+    var settings: File? = null
+
+    fun read(): Pair<PlatformSettings, OperatorSettings> =
+        SettingsFiles.platform(config) to SettingsFiles.operators(settings)
+}
+
+private const val EXIT_BAD_SETTINGS = 78
+
+private fun <T> orBadSettings(block: () -> T): T? =
+    try {
+        block()
+    } catch (e: BadSettings) {
+        System.err.println("wardmux: ${e.message}")
+        null
+    }
+
+@Command(
+    name = "serve",
+    description = ["Runs a controller until it is killed."],
+    mixinStandardHelpOptions = true,
+)
+class ServeCommand : Callable<Int> {
+    @Mixin lateinit var options: SettingsOptions
+
+    override fun call(): Int {
+        val (platform, operators) = orBadSettings { options.read() } ?: return EXIT_BAD_SETTINGS
+        return try {
+            Daemon(platform, operators).run()
+            0
+        } catch (e: java.net.BindException) {
+            System.err.println("wardmux: api_addr or peer_bind cannot be listened on: ${e.message}")
+            1
+        }
+    }
+}
+
+@Command(
+    name = "check",
+    description = ["Checks both settings files and says what is wrong; the exit code tells."],
+    mixinStandardHelpOptions = true,
+)
+class CheckCommand : Callable<Int> {
+    @Mixin lateinit var options: SettingsOptions
+
+    override fun call(): Int {
+        val (platform, _) = orBadSettings { options.read() } ?: return EXIT_BAD_SETTINGS
+        println("settings of ${platform.member} are sound")
+        return 0
+    }
+}
+
+/** Runs at build time: what it touches goes into the class-data archive, which start-up then maps. */
+@Command(name = "rehearse", hidden = true)
+class RehearseCommand : Callable<Int> {
+    override fun call(): Int {
+        Rehearsal.run()
+        exitProcess(0)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/cloud/CloudClient.kt
@@ -0,0 +1,137 @@
+package wardmux.cloud
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.Serializable
+import wardmux.Desk
+import wardmux.Outcome
+import wardmux.Target
+import wardmux.logger
+import wardmux.secs
+import wardmux.store.lenientJson
+
+@Serializable private class TypesWire(val boxkinds: List<MachineType>)
+
+@Serializable
+data class HireOrder(
+    val hire: String,
+    @SerialName("boxkind") val type: String,
+    @SerialName("ward") val zone: String,
+    @SerialName("loaners") val spot: Boolean,
+    val count: Int,
+)
+
+@Serializable private class BoxesWire(val boxes: List<String>)
+
+@Serializable
+data class ListedMachine(
+    @SerialName("name_id") val id: String,
+    val endpoint: String = "",
+    @SerialName("boxkind") val type: String,
+    @SerialName("ward") val zone: String,
+    @SerialName("loaners") val spot: Boolean = false,
+    val status: String,
+    @SerialName("held_s") val heldS: Double = 0.0,
+)
+
+@Serializable
+private class ListWire(val boxes: List<ListedMachine>, val truncated: Boolean = false)
+
+sealed interface CloudResult<out T> {
+    data class Ok<T>(val value: T) : CloudResult<T>
+
+    /** Refused, and surely not done. */
+    data class Refused(val noCapacity: Boolean) : CloudResult<Nothing>
+
+    data object Unsure : CloudResult<Nothing>
+}
+
+/** The cloud by its protocol, within this controller's share of the call limit. */
+class CloudClient(private val desk: Desk, rps: Double) {
+    private val log = logger<CloudClient>()
+    private val rate = rps * MARGIN
+    private var tokens = rate
+    private var refilledAt = desk.now
+
+    /** False if a call now would pass the limit; the caller tries again later. */
+    fun ready(): Boolean {
+        tokens = (tokens + (desk.now - refilledAt).seconds * rate).coerceAtMost(rate * 2)
+        refilledAt = desk.now
+        return tokens >= 1
+    }
+
+    fun types(then: (CloudResult<List<MachineType>>) -> Unit) =
+        call("GET", "/machine_types", "", then) {
+            lenientJson.decodeFromString(TypesWire.serializer(), it).boxkinds
+        }
+
+    fun hire(order: HireOrder, then: (CloudResult<List<String>>) -> Unit) =
+        call("POST", "/machines", lenientJson.encodeToString(HireOrder.serializer(), order), then) {
+            lenientJson.decodeFromString(BoxesWire.serializer(), it).boxes
+        }
+
+    fun delete(ids: List<String>, then: (CloudResult<Unit>) -> Unit) {
+        val body = lenientJson.encodeToString(BoxesWire.serializer(), BoxesWire(ids))
+        call("POST", "/machines/delete", body, then) {}
+    }
+
+    /** The whole list, or nothing. */
+    fun list(then: (CloudResult<List<ListedMachine>>) -> Unit) = listFrom(null, ArrayList(), then)
+
+    private fun listFrom(
+        from: String?,
+        found: MutableList<ListedMachine>,
+        then: (CloudResult<List<ListedMachine>>) -> Unit,
+    ) {
+        val path = "/machines?limit=$LIST_LIMIT" + if (from == null) "" else "&from=$from"
+        val next: (CloudResult<ListWire>) -> Unit = { result ->
+            when (result) {
+                is CloudResult.Ok -> {
+                    found.addAll(result.value.boxes)
+                    val last = result.value.boxes.lastOrNull()
+                    if (result.value.truncated && last != null) listFrom(last.id, found, then)
+                    else then(CloudResult.Ok(found))
+                }
+                is CloudResult.Refused -> then(result)
+                is CloudResult.Unsure -> then(result)
+            }
+        }
+        call("GET", path, "", next) { lenientJson.decodeFromString(ListWire.serializer(), it) }
+    }
+
+    private fun <T> call(
+        method: String,
+        path: String,
+        body: String,
+        then: (CloudResult<T>) -> Unit,
+        read: (String) -> T,
+    ) {
+        tokens -= 1
+        desk.send(Target.Cloud, method, path, body.encodeToByteArray(), TIMEOUT) { outcome ->
+            then(interpret(outcome, read))
+        }
+    }
+
+    private fun <T> interpret(outcome: Outcome, read: (String) -> T): CloudResult<T> {
+        if (outcome !is Outcome.Response) return CloudResult.Unsure
+        return when (outcome.status) {
+            200 ->
+                try {
+                    CloudResult.Ok(read(outcome.text))
+                } catch (e: SerializationException) {
+                    log.error("cloud answered: {}", e.message)
+                    CloudResult.Unsure
+                }
+            503 -> CloudResult.Refused(noCapacity = "no capacity" in outcome.text)
+            429,
+            400 -> CloudResult.Refused(noCapacity = false)
+            else -> CloudResult.Unsure
+        }
+    }
+
+    private companion object {
+        const val MARGIN = 0.8
+        const val LIST_LIMIT = 500
+        val TIMEOUT = 5.secs
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/cloud/Hiring.kt
@@ -0,0 +1,242 @@
+package wardmux.cloud
+
+import wardmux.Desk
+import wardmux.MachineId
+import wardmux.Micros
+import wardmux.Token
+import wardmux.app.OperatorSettings
+import wardmux.app.CloudFacts
+import wardmux.dispatch.Cluster
+import wardmux.dispatch.Planner
+import wardmux.fleet.Fleet
+import wardmux.fleet.Machine
+import wardmux.logger
+import wardmux.secs
+
+/** Rents what the waiting work needs, returns what costs more than it saves. */
+class Hiring(
+    private val desk: Desk,
+    private val cloud: CloudClient,
+    private val types: TypeBook,
+    private val cluster: Cluster,
+    private val fleet: Fleet,
+    private val planner: Planner,
+    private val operators: OperatorSettings,
+    private val facts: CloudFacts,
+    private val token: Token,
+    private val zones: List<String>,
+    private val condemn: (Machine, String) -> Unit,
+) {
+    /** One kind of thing that the cloud rents. */
+    private data class Kind(val type: String, val zone: String, val spot: Boolean)
+
+    private val log = logger<Hiring>()
+    private val refusedUntil = HashMap<Kind, Micros>()
+    private val smoothed = HashMap<String, Double>()
+    private val electedAt = desk.now
+    private var counter = 0
+    private var decideAt = Micros.LONG_AGO
+    private var listAt = Micros.LONG_AGO
+    private var listing = false
+    private var listed = false
+    private var deleteAt = Micros.LONG_AGO
+    private val hiring = HashMap<String, HireOrder>()
+    private val retryAt = HashMap<String, Micros>()
+
+    fun tick(sure: Boolean) {
+        if (desk.now >= listAt && !listing && cloud.ready()) list()
+        if (!sure) return
+        deleteCondemned()
+        for ((name, at) in retryAt.toList()) {
+            if (desk.now >= at && cloud.ready()) {
+                retryAt.remove(name)
+                hiring[name]?.let { ask(it) }
+            }
+        }
+        // Until the list has been seen, what an earlier leader rented isn't known.
+        val informed = listed || desk.now - electedAt > (facts.listLagS * 4).secs
+        if (desk.now >= decideAt && informed) {
+            decideAt = desk.now + PERIOD
+            decide()
+        }
+    }
+
+    private fun list() {
+        listing = true
+        cloud.list { result ->
+            listing = false
+            listAt = desk.now + facts.listLagS.secs
+            if (result is CloudResult.Ok) {
+                listed = true
+                for (entry in result.value) take(entry)
+            }
+        }
+    }
+
+    private fun take(entry: ListedMachine) {
+        val id = MachineId(entry.id)
+        if (id in fleet.gone) return
+        val known = cluster.machines[id]
+        val machine = known ?: fleet.machine(id, entry.type, entry.zone, entry.spot) ?: return
+        if (known == null) log.info("{} is listed as {} and was not known", id, entry.status)
+        when (entry.status) {
+            "failed" -> {
+                // It stopped by itself: nothing runs there.
+                cluster.clear(machine, "listed as failed")
+                condemn(machine, "failed")
+            }
+            "running" -> machine.listedRunning = true
+            else -> {
+                val patience = machine.type.bootS * BOOT_PATIENCE
+                if (!machine.up && entry.heldS > patience) condemn(machine, "does not come up")
+            }
+        }
+    }
+
+    private fun deleteCondemned() {
+        if (desk.now < deleteAt || !cloud.ready()) return
+        val due = cluster.machines.values.filter { it.deleting }.take(MOST_DELETED)
+        if (due.isEmpty()) return
+        deleteAt = desk.now + DELETE_TIME
+        cloud.delete(due.map { it.id.value }) { result ->
+            deleteAt = desk.now + if (result is CloudResult.Ok) Micros.ZERO else RETRY
+            if (result is CloudResult.Ok) for (machine in due) deleted(machine)
+        }
+    }
+
+    private fun deleted(machine: Machine) {
+        log.info("{} is deleted: {}", machine.id, machine.condemnedWhy)
+        cluster.clear(machine, "deleted")
+        for (job in cluster.jobs.values) {
+            for (placement in job.placements.values.filter { it.machine == machine.id }) {
+                cluster.release(placement, "deleted")
+            }
+        }
+        cluster.machines.remove(machine.id)
+        fleet.gone.add(machine.id)
+    }
+
+    private fun decide() {
+        val known = types.types ?: return
+        val backlog = backlog(known)
+        for (type in known) {
+            val own = cluster.machines.values.filter { it.type.label == type.label && !it.condemned }
+            val inUse = own.sumOf { it.load }
+            val now = inUse * (1 + operators.spareShare) + (backlog[type.label] ?: 0.0)
+            val before = smoothed[type.label] ?: now
+            val wanted = maxOf(now, before + (now - before) * SMOOTHING)
+            smoothed[type.label] = wanted
+            val have = own.count { it.recalledAt == null } +
+                hiring.values.filter { it.type == type.label }.sumOf { it.count }
+            val missing = (wanted - have + ROUNDING).toInt()
+            if (missing > 0) hire(type, missing)
+            else if (have - wanted > 1) giveBack(own, have - wanted)
+        }
+    }
+
+    /** Machines that would work off what waits within the horizon, by type. */
+    private fun backlog(known: List<MachineType>): Map<String, Double> {
+        val machines = HashMap<String, Double>()
+        val room = HashMap<String, Double>()
+        for (job in cluster.jobs.values) {
+            if (job.waiting == 0 || job.atFault) continue
+            val spec = job.spec
+            val left = room.getOrPut(spec.team) {
+                (cluster.teams[spec.team]?.cpusMax ?: 0.0) - cluster.usedCpus(spec.team)
+            }
+            val tasks = if (spec.cpus > 0) minOf(job.waiting.toDouble(), left / spec.cpus) else job.waiting.toDouble()
+            if (tasks <= 0) continue
+            room[spec.team] = left - tasks * spec.cpus
+            val type = known.filter { it.allowedFor(spec) }.minByOrNull { it.cpus } ?: continue
+            val run = cluster.estimates.runTime(spec).seconds.coerceAtLeast(1.0)
+            val horizon = type.bootS * HORIZON_BOOTS
+            val part = tasks / type.fitting(spec).coerceAtLeast(1) * minOf(1.0, run / horizon)
+            machines.merge(type.label, part, Double::plus)
+        }
+        return machines
+    }
+
+    /** Spot machines first, spread over the zones; ordinary ones where no spot machine is to be had. */
+    private fun hire(type: MachineType, missing: Int) {
+        if (hiring.size >= MOST_HIRES) return
+        for (spot in listOf(true, false)) {
+            val kinds =
+                type.zones
+                    .filter { it in zones }
+                    .map { Kind(type.label, it, spot) }
+                    .filter { desk.now >= (refusedUntil[it] ?: Micros.LONG_AGO) }
+                    .sortedBy { kind ->
+                        cluster.machines.values.count {
+                            it.zone == kind.zone && it.type.label == type.label && it.spot == spot
+                        }
+                    }
+            if (kinds.isEmpty()) continue
+            val share = (missing + kinds.size - 1) / kinds.size
+            var left = missing
+            for (kind in kinds) {
+                val count = minOf(share, left, MOST_AT_ONCE)
+                if (count <= 0 || !cloud.ready()) break
+                left -= count
+                // Never used again, by this controller or another: a token is one leader's alone.
+                val name = "w${token.value}-${++counter}"
+                val order = HireOrder(name, kind.type, kind.zone, kind.spot, count)
+                hiring[name] = order
+                ask(order)
+            }
+            return
+        }
+    }
+
+    private fun ask(order: HireOrder) {
+        val kind = Kind(order.type, order.zone, order.spot)
+        cloud.hire(order) { result ->
+            when (result) {
+                is CloudResult.Ok -> {
+                    hiring.remove(order.hire)
+                    log.info("hired {} of {} {}", result.value.size, order.count, kind)
+                    for (id in result.value) {
+                        fleet.machine(MachineId(id), order.type, order.zone, order.spot)
+                    }
+                    if (result.value.size < order.count) pause(kind)
+                }
+                is CloudResult.Refused -> {
+                    hiring.remove(order.hire)
+                    if (result.noCapacity) pause(kind) else decideAt = desk.now + RETRY
+                }
+                // Perhaps rented: the same request again rents nothing new.
+                is CloudResult.Unsure -> retryAt[order.hire] = desk.now + RETRY
+            }
+        }
+    }
+
+    private fun pause(kind: Kind) {
+        refusedUntil[kind] = desk.now + operators.refusedPauseS.secs
+        decideAt = desk.now
+    }
+
+    private fun giveBack(own: List<Machine>, surplus: Double) {
+        var left = surplus.toInt()
+        val idle =
+            own.filter {
+                    it.up && it.empty && desk.now - it.idleSince > operators.idleKeepS.secs
+                }
+                .sortedBy { it.spot }
+        for (machine in idle) {
+            if (left-- <= 0) return
+            condemn(machine, "idle")
+        }
+    }
+
+    private companion object {
+        val PERIOD = 1.secs
+        val RETRY = 1.secs
+        val DELETE_TIME = 6.secs
+        const val MOST_DELETED = 100
+        const val MOST_AT_ONCE = 50
+        const val MOST_HIRES = 6
+        const val BOOT_PATIENCE = 3.0
+        const val HORIZON_BOOTS = 0.8
+        const val SMOOTHING = 0.03
+        const val ROUNDING = 0.4
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/cloud/MachineType.kt
@@ -0,0 +1,53 @@
+package wardmux.cloud
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.json.JsonElement
+import wardmux.intake.JobSpec
+import wardmux.store.lenientJson
+
+@Serializable
+data class MachineType(
+    val label: String,
+    @SerialName("cores") val cpus: Double,
+    val gpus: Double = 0.0,
+    @SerialName("mem_gb") val memoryGb: Double,
+    @SerialName("local_gb") val cacheGb: Double = 0.0,
+    @SerialName("pull_gb_per_s") val fetchGbPerS: Double = 1.0,
+    @SerialName("hourly") val price: Double = 1.0,
+    @SerialName("spot_price") val spotPrice: Double = 1.0,
+    @SerialName("boot_s") val bootS: Double = 60.0,
+    @SerialName("wards") val zones: List<String>,
+) {
+    fun holds(spec: JobSpec) =
+        spec.cpus <= cpus + EPSILON &&
+            spec.gpus <= gpus + EPSILON &&
+            spec.memoryGb <= memoryGb + EPSILON
+
+    fun allowedFor(spec: JobSpec) =
+        holds(spec) &&
+            (spec.types == null || label in spec.types) &&
+            (spec.zone == null || spec.zone in zones)
+
+    /** How many tasks like this an empty machine takes. */
+    fun fitting(spec: JobSpec): Int {
+        val byCpu = if (spec.cpus > 0) cpus / spec.cpus else Double.MAX_VALUE
+        val byGpu = if (spec.gpus > 0) gpus / spec.gpus else Double.MAX_VALUE
+        val byMemory = if (spec.memoryGb > 0) memoryGb / spec.memoryGb else Double.MAX_VALUE
+        return (minOf(byCpu, byGpu, byMemory) + EPSILON).coerceAtMost(10_000.0).toInt()
+    }
+
+    companion object {
+        /** Sums of decimal amounts are compared with this much slack. */
+        const val EPSILON = 1e-6
+        const val KEY = "types"
+        private val list = ListSerializer(serializer())
+
+        fun toJson(types: List<MachineType>): JsonElement =
+            lenientJson.encodeToJsonElement(list, types)
+
+        fun listOf(json: JsonElement): List<MachineType> =
+            lenientJson.decodeFromJsonElement(list, json)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/cloud/TypeBook.kt
@@ -0,0 +1,74 @@
+package wardmux.cloud
+
+import wardmux.Desk
+import wardmux.Micros
+import wardmux.millis
+import wardmux.secs
+import wardmux.store.Change
+import wardmux.store.Priority
+import wardmux.store.Result
+import wardmux.store.StateStore
+
+/**
+ * The machine types, kept in the state service so that an outage of the cloud does not keep a fresh
+ * controller from deciding.
+ */
+class TypeBook(private val desk: Desk, private val store: StateStore, private val cloud: CloudClient) {
+    var types: List<MachineType>? = null
+        private set
+
+    private var askAt = Micros.LONG_AGO
+    private var busy = false
+
+    fun byLabel(label: String): MachineType? = types?.firstOrNull { it.label == label }
+
+    /** Only the leader asks for current prices; the others need no more than what is known. */
+    fun tick(leading: Boolean) {
+        if (busy || desk.now < askAt) return
+        if (types != null && !leading) return
+        busy = true
+        if (types == null) readStored() else askCloud()
+    }
+
+    private fun readStored() {
+        store.get(MachineType.KEY) { result ->
+            if (result is Result.Ok) {
+                types = MachineType.listOf(result.value.data)
+                again(REFRESH)
+            } else {
+                askCloud()
+            }
+        }
+    }
+
+    private fun askCloud() {
+        if (!cloud.ready()) {
+            again(RETRY)
+            return
+        }
+        cloud.types { result ->
+            if (result is CloudResult.Ok) {
+                if (types != result.value) keep(result.value)
+                types = result.value
+                again(REFRESH)
+            } else {
+                again(RETRY)
+            }
+        }
+    }
+
+    private fun keep(found: List<MachineType>) {
+        val change = Change(put = MachineType.KEY, data = MachineType.toJson(found))
+        store.multi(emptyList(), listOf(change), Priority.LEADER) {}
+    }
+
+    private fun again(pause: Micros) {
+        busy = false
+        askAt = desk.now + pause
+    }
+
+    private companion object {
+        val REFRESH = 60.secs
+        val RETRY = 700.millis
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/dispatch/Cluster.kt
@@ -0,0 +1,175 @@
+package wardmux.dispatch
+
+import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap
+import wardmux.Desk
+import wardmux.JobId
+import wardmux.MachineId
+import wardmux.Micros
+import wardmux.TaskId
+import wardmux.app.TeamFacts
+import wardmux.cloud.MachineType
+import wardmux.fleet.Machine
+import wardmux.fleet.Placement
+import wardmux.intake.JobSpec
+import wardmux.logger
+import wardmux.secs
+
+/**
+ * What the leader knows of jobs, machines and who is where. Whatever may be on a machine counts
+ * against its room and its team's cap until it is proven gone.
+ */
+class Cluster(private val desk: Desk, teams: List<TeamFacts>, val queue: FairQueue) {
+    private val log = logger<Cluster>()
+    val teams = teams.associateBy { it.name }
+    val jobs = LinkedHashMap<JobId, Job>()
+    val machines = LinkedHashMap<MachineId, Machine>()
+    val estimates = Estimates()
+    private val cpus = Object2DoubleOpenHashMap<String>()
+    private val gpus = Object2DoubleOpenHashMap<String>()
+
+    /** Tags or usage have changed since they were last written. */
+    var tagsMoved = false
+
+    fun usedCpus(team: String) = cpus.getDouble(team)
+
+    /** How many more tasks like this the team's cap allows. */
+    fun headroom(spec: JobSpec): Int {
+        val team = teams[spec.team] ?: return 0
+        val slack = MachineType.EPSILON
+        val byCpu =
+            if (spec.cpus > 0) (team.cpusMax - cpus.getDouble(spec.team) + slack) / spec.cpus
+            else Double.MAX_VALUE
+        val byGpu =
+            if (spec.gpus > 0) (team.gpusMax - gpus.getDouble(spec.team) + slack) / spec.gpus
+            else Double.MAX_VALUE
+        return minOf(byCpu, byGpu, 1e6).toInt().coerceAtLeast(0)
+    }
+
+    /** Room and cap are taken by strays too: tasks that a machine reports without a record. */
+    fun book(spec: JobSpec, sign: Int) {
+        cpus.addTo(spec.team, sign * spec.cpus)
+        gpus.addTo(spec.team, sign * spec.gpus)
+    }
+
+    fun place(job: Job, task: Int, machine: Machine): Placement {
+        val cost = cost(job.spec, estimates.runTime(job.spec))
+        val charge = queue.charge(job.spec.team, cost, desk.wall)
+        val placement =
+            Placement(
+                job,
+                TaskId(job.id, task),
+                job.nextAttempt(task),
+                machine.id,
+                machine.shift,
+                charge,
+                desk.wall,
+            )
+        job.place(placement)
+        restore(placement, machine)
+        machine.useImage(job.spec.image, job.spec.imageGb)
+        tagsMoved = true
+        return placement
+    }
+
+    /** A placement read from a record. */
+    fun restore(placement: Placement, machine: Machine?) {
+        machine?.add(placement)
+        book(placement.job.spec, 1)
+    }
+
+    /** The placement is proven gone from its machine. */
+    fun release(placement: Placement, why: String) {
+        if (placement.job.placements.get(placement.task.index) !== placement) return
+        log.debug("{} try {} is off {}: {}", placement.task, placement.attempt, placement.machine, why)
+        unbook(placement)
+        placement.job.release(placement)
+    }
+
+    /** The placement's record was surely not written. */
+    fun undo(placement: Placement) {
+        if (placement.job.placements.get(placement.task.index) !== placement) return
+        unbook(placement)
+        queue.undo(placement.job.spec.team, placement.charge, desk.wall)
+        placement.job.undo(placement)
+    }
+
+    private fun unbook(placement: Placement) {
+        machines[placement.machine]?.remove(placement, desk.now)
+        book(placement.job.spec, -1)
+    }
+
+    /** The task has completed; its team's tag is corrected by what it really cost. */
+    fun complete(placement: Placement) {
+        val job = placement.job
+        val since = placement.runningSince
+        if (since != null) {
+            val ran = desk.now - since
+            estimates.learn(job.spec, ran)
+            queue.correct(job.spec.team, placement.charge, cost(job.spec, ran), desk.wall)
+            tagsMoved = true
+        }
+        job.complete(placement.task.index)
+        release(placement, "done")
+    }
+
+    /** Everything on the machine is proven gone. */
+    fun clear(machine: Machine, why: String) {
+        for (placement in machine.placements.values.toList()) release(placement, why)
+        setStrays(machine, emptyList())
+    }
+
+    fun setStrays(machine: Machine, strays: List<JobSpec>) {
+        for (spec in machine.strays) book(spec, -1)
+        machine.strays = strays
+        for (spec in strays) book(spec, 1)
+    }
+
+    /** Before everything is read again. */
+    fun forgetJobs() {
+        jobs.clear()
+        cpus.clear()
+        gpus.clear()
+    }
+
+    /** The largest booked share of CPU, GPU or memory, in CPUs of the largest machine type. */
+    private fun cost(spec: JobSpec, run: Micros): Cost {
+        val type = reference
+        var share = spec.cpus
+        if (type != null) {
+            share = maxOf(share, spec.memoryGb * type.cpus / type.memoryGb)
+            if (type.gpus > 0) share = maxOf(share, spec.gpus * type.cpus / type.gpus)
+        }
+        return Cost((share * maxOf(run, 1.secs).value).toLong())
+    }
+
+    /** The type that shares are measured by. */
+    var reference: MachineType? = null
+}
+
+/** Owners' estimates are often wrong in one direction for a whole class; what ran corrects them. */
+class Estimates {
+    private class Ratio {
+        var value = 1.0
+        var seen = 0
+    }
+
+    private val ratios = HashMap<String, Ratio>()
+
+    fun runTime(spec: JobSpec): Micros {
+        val ratio = ratios[spec.jobClass]?.value ?: 1.0
+        return spec.estimate * ratio
+    }
+
+    fun learn(spec: JobSpec, ran: Micros) {
+        if (spec.estimate <= Micros.ZERO) return
+        val ratio = ratios.getOrPut(spec.jobClass) { Ratio() }
+        ratio.seen++
+        val part = maxOf(1.0 / (ratio.seen + 1), SMALLEST_PART)
+        val seen = (ran.value.toDouble() / spec.estimate.value).coerceIn(0.2, 5.0)
+        ratio.value += (seen - ratio.value) * part
+    }
+
+    private companion object {
+        const val SMALLEST_PART = 0.02
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/dispatch/FairQueue.kt
@@ -0,0 +1,122 @@
+package wardmux.dispatch
+
+import kotlin.math.pow
+import kotlin.math.roundToLong
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonElement
+import wardmux.Micros
+import wardmux.store.lenientJson
+
+/** CPU-microseconds: the largest booked share in CPUs, times the run time. */
+@JvmInline value class Cost(val value: Long)
+
+/** What a dispatch was charged; kept with the placement, so that a finish can correct it. */
+data class Charge(val cost: Cost, val weight: Double)
+
+@Serializable
+private class TagsWire(val clock: Long, val at: Long, val teams: Map<String, AccountWire>)
+
+@Serializable private class AccountWire(val tag: Long, val usage: Double)
+
+/**
+ * Start-time Fair Queuing over teams. A dispatch starts at max(clock, the team's finish tag); its
+ * cost by the team's weight is added to the tag; the clock rises to the start tag and never goes
+ * back. Decayed usage lowers the weight.
+ */
+class FairQueue(
+    private val guarantees: Map<String, Double>,
+    private val halfLife: Micros,
+    /** Usage that halves the weight, in CPU-seconds for each CPU of the guarantee. */
+    private val normSeconds: Double,
+) {
+    private class Account {
+        var finishTag = 0L
+        var usage = 0.0
+        var readAt = Micros.ZERO
+    }
+
+    private val accounts = HashMap<String, Account>()
+    var clock = 0L
+        private set
+
+    private fun base(team: String) = maxOf(1.0, guarantees[team] ?: 1.0)
+
+    private fun account(team: String, wall: Micros): Account {
+        val account = accounts.getOrPut(team) { Account().also { it.readAt = wall } }
+        val elapsed = wall - account.readAt
+        if (elapsed > Micros.ZERO) {
+            account.usage *= 2.0.pow(-elapsed.value.toDouble() / halfLife.value)
+            account.readAt = wall
+        }
+        return account
+    }
+
+    fun usage(team: String, wall: Micros): Double = account(team, wall).usage
+
+    fun weight(team: String, wall: Micros): Double {
+        val norm = normSeconds * 1e6 * base(team)
+        return (base(team) * 2.0.pow(-account(team, wall).usage / norm)).coerceAtLeast(MIN_WEIGHT)
+    }
+
+    fun startTag(team: String): Long = maxOf(clock, accounts[team]?.finishTag ?: 0L)
+
+    fun charge(team: String, cost: Cost, wall: Micros): Charge {
+        val weight = weight(team, wall)
+        val account = account(team, wall)
+        val start = startTag(team)
+        account.finishTag = start + (cost.value / weight).roundToLong()
+        account.usage += cost.value
+        clock = maxOf(clock, start)
+        return Charge(cost, weight)
+    }
+
+    /** The step that was taken with the weight at dispatch is corrected with that same weight. */
+    fun correct(team: String, charge: Charge, actual: Cost, wall: Micros) {
+        val difference = (actual.value - charge.cost.value) / charge.weight
+        account(team, wall).finishTag += difference.roundToLong()
+    }
+
+    /** A dispatch that never left this controller is taken back whole. */
+    fun undo(team: String, charge: Charge, wall: Micros) {
+        val account = account(team, wall)
+        account.finishTag -= (charge.cost.value / charge.weight).roundToLong()
+        account.usage = (account.usage - charge.cost.value).coerceAtLeast(0.0)
+    }
+
+    /** With nothing to run the clock equals the highest tag: nobody saves up credit. */
+    fun idle() {
+        clock = maxOf(clock, accounts.values.maxOfOrNull { it.finishTag } ?: clock)
+    }
+
+    /** Teams that neither lead the clock nor have usage left are as new, and are left out. */
+    fun toJson(wall: Micros): JsonElement {
+        val kept =
+            accounts
+                .filter { (_, a) -> a.finishTag > clock || a.usage > NEGLIGIBLE }
+                .mapValues { (team, a) -> AccountWire(a.finishTag, usage(team, wall)) }
+        return lenientJson.encodeToJsonElement(
+            TagsWire.serializer(),
+            TagsWire(clock, wall.value, kept),
+        )
+    }
+
+    fun load(json: JsonElement) {
+        val wire = lenientJson.decodeFromJsonElement(TagsWire.serializer(), json)
+        clock = wire.clock
+        accounts.clear()
+        for ((team, saved) in wire.teams) {
+            accounts[team] =
+                Account().also {
+                    it.finishTag = saved.tag
+                    it.usage = saved.usage
+                    it.readAt = Micros(wire.at)
+                }
+        }
+    }
+
+    companion object {
+        const val KEY = "tags"
+        private const val MIN_WEIGHT = 1e-3
+        private const val NEGLIGIBLE = 1e6
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/dispatch/Ledger.kt
@@ -0,0 +1,261 @@
+package wardmux.dispatch
+
+import java.util.BitSet
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonPrimitive
+import wardmux.Desk
+import wardmux.Micros
+import wardmux.fleet.Machine
+import wardmux.fleet.Placement
+import wardmux.intake.JobRecord
+import wardmux.intake.JobState
+import wardmux.lead.Leadership
+import wardmux.lead.Role
+import wardmux.logger
+import wardmux.millis
+import wardmux.secs
+import wardmux.store.Change
+import wardmux.store.Condition
+import wardmux.store.Priority
+import wardmux.store.Result
+import wardmux.store.StateStore
+
+/**
+ * Writes what the leader decides, one transaction at a time. Each holds only while the leader key is
+ * as this leader wrote it, and a page only while it is as it was last seen: a transaction that is
+ * applied late, after it was given up on, therefore changes nothing.
+ */
+class Ledger(
+    private val desk: Desk,
+    private val store: StateStore,
+    private val cluster: Cluster,
+    private val role: Role.Leader,
+    private val period: Micros,
+    private val listener: Listener,
+) {
+    interface Listener {
+        fun written()
+
+        fun fenced()
+
+        /** What is stored is no longer known for sure. */
+        fun lost()
+
+        fun finished(job: Job)
+
+        /** The job's record is no longer as it was when it was accepted. */
+        fun changed(job: Job)
+
+        fun condemned(machine: Machine)
+    }
+
+    private class WrittenPage(
+        val job: Job,
+        val page: Int,
+        val done: BitSet,
+        val planned: List<Placement>,
+        val removed: Boolean,
+    )
+
+    private inner class Draft {
+        val conditions = arrayListOf(role.condition)
+        val changes = ArrayList<Change>()
+        val pages = ArrayList<WrittenPage>()
+        val finishing = ArrayList<Job>()
+        val condemning = ArrayList<Machine>()
+        private var bytes = 0
+
+        fun room(changesNeeded: Int, conditionsNeeded: Int) =
+            changes.size + changesNeeded < store.maxChanges &&
+                conditions.size + conditionsNeeded <= store.maxConditions &&
+                bytes < MAX_BYTES
+
+        fun put(key: String, data: JsonElement) {
+            bytes += key.length + data.toString().length
+            changes.add(Change(put = key, data = data))
+        }
+    }
+
+    private val log = logger<Ledger>()
+    private val condemning = LinkedHashSet<Machine>()
+    private var inFlight = false
+    private var nextAt = Micros.LONG_AGO
+
+    val ready: Boolean
+        get() = !inFlight && desk.now >= nextAt
+
+    /** Recorded before the machine is deleted, so that no later leader uses it. */
+    fun condemn(machine: Machine) {
+        condemning.add(machine)
+    }
+
+    /** Pages that one write may still take, for the planner: it places no more than can be written. */
+    fun admitter(): (Job, Int) -> Boolean {
+        // One change is kept for the tags.
+        var left = store.maxChanges - 1 - minOf(condemning.size, 1)
+        left -= cluster.jobs.values.count { it.complete && !it.finished && !it.over }.coerceAtMost(2) * 2
+        val planned = HashSet<String>()
+        return { job, task ->
+            val key = Job.pageKey(job.id, task / job.pageSize)
+            when {
+                key in planned -> true
+                planned.size + 1 > left -> false
+                else -> planned.add(key)
+            }
+        }
+    }
+
+    fun flush() {
+        if (!ready) return
+        val draft = Draft()
+        addPlanned(draft)
+        addFinished(draft)
+        addCondemned(draft)
+        addDirty(draft)
+        addLeftOver(draft)
+        if (draft.changes.isEmpty()) return
+        if (cluster.tagsMoved) draft.put(FairQueue.KEY, cluster.queue.toJson(desk.wall))
+        cluster.tagsMoved = false
+        inFlight = true
+        store.multi(draft.conditions, draft.changes, Priority.LEADER) { settle(draft, it) }
+        nextAt = desk.now + period
+    }
+
+    private fun addPlanned(draft: Draft) {
+        for (job in cluster.jobs.values) {
+            for (page in job.dirtyPages()) {
+                if (!job.hasPlanned(page)) continue
+                if (!draft.room(1, 2)) return
+                draft.conditions.add(Condition(JobRecord.key(job.id), job.stamp.value))
+                addPage(draft, job, page)
+            }
+        }
+    }
+
+    private fun addFinished(draft: Draft) {
+        for (job in cluster.jobs.values) {
+            if (!job.complete || job.finished || job.over) continue
+            val stored = job.storedPages()
+            if (!draft.room(2 + stored.size.coerceAtMost(2), 1)) return
+            draft.conditions.add(Condition(JobRecord.key(job.id), job.stamp.value))
+            val record = JobRecord(JobState.DONE, job.acceptedAt.value)
+            draft.put(JobRecord.key(job.id), record.toJson())
+            draft.changes.add(Change(remove = JobRecord.openKey(job.id)))
+            draft.finishing.add(job)
+        }
+    }
+
+    private fun addCondemned(draft: Draft) {
+        for (machine in condemning) {
+            if (!draft.room(1, 0)) return
+            draft.put(machineKey(machine), JsonPrimitive(machine.condemnedWhy))
+            draft.condemning.add(machine)
+        }
+    }
+
+    private fun addDirty(draft: Draft) {
+        for (job in cluster.jobs.values) {
+            if (job.over || job.complete) continue
+            for (page in job.dirtyPages()) {
+                if (job.hasPlanned(page)) continue
+                if (!draft.room(1, 1)) return
+                addPage(draft, job, page)
+            }
+        }
+    }
+
+    /** Pages of jobs that are over go once nothing of them is left on a machine. */
+    private fun addLeftOver(draft: Draft) {
+        for (job in cluster.jobs.values) {
+            if (!job.over || job.placements.isNotEmpty()) continue
+            for (page in job.storedPages()) {
+                if (!draft.room(1, 1)) return
+                val key = Job.pageKey(job.id, page)
+                draft.conditions.add(Condition(key, job.pageStamp(page)))
+                draft.changes.add(Change(remove = key))
+                draft.pages.add(WrittenPage(job, page, BitSet(), emptyList(), removed = true))
+            }
+        }
+    }
+
+    private fun addPage(draft: Draft, job: Job, page: Int) {
+        val key = Job.pageKey(job.id, page)
+        draft.conditions.add(Condition(key, job.pageStamp(page)))
+        draft.put(key, job.page(page))
+        val planned = job.placementsOf(page).filter { !it.committed }
+        draft.pages.add(WrittenPage(job, page, job.doneIn(page), planned, removed = false))
+        job.clean(page)
+    }
+
+    private fun settle(draft: Draft, result: Result<Long>) {
+        inFlight = false
+        when (result) {
+            is Result.Ok -> committed(draft, result.value)
+            is Result.Conflict -> conflict(draft, result.failed)
+            is Result.Refused -> {
+                takeBack(draft)
+                nextAt = desk.now + REFUSED_PAUSE
+            }
+            is Result.Invalid,
+            is Result.Absent -> {
+                log.error("a write was found invalid: {}", draft.changes.map { it.put ?: it.remove })
+                takeBack(draft)
+                nextAt = desk.now + INVALID_PAUSE
+            }
+            is Result.Unsure -> {
+                log.info("a write got no response; reading again what is stored")
+                listener.lost()
+            }
+        }
+    }
+
+    private fun committed(draft: Draft, stamp: Long) {
+        for (written in draft.pages) {
+            if (written.removed) written.job.forgetPage(written.page)
+            else written.job.written(written.page, stamp, written.done)
+            for (placement in written.planned) placement.committed = true
+        }
+        for (job in draft.finishing) {
+            job.finished = true
+            job.over = true
+            listener.finished(job)
+        }
+        for (machine in draft.condemning) {
+            condemning.remove(machine)
+            listener.condemned(machine)
+        }
+        listener.written()
+    }
+
+    private fun conflict(draft: Draft, failed: List<String>) {
+        if (Leadership.KEY in failed) return listener.fenced()
+        val changed =
+            (draft.pages.map { it.job } + draft.finishing).filter { JobRecord.key(it.id) in failed }
+        if (changed.isEmpty()) {
+            log.info("stored pages are not as they were last seen: {}", failed)
+            return listener.lost()
+        }
+        takeBack(draft)
+        for (job in changed.distinct()) listener.changed(job)
+    }
+
+    /** Surely not written: planned placements are undone, the rest is tried again. */
+    private fun takeBack(draft: Draft) {
+        for (written in draft.pages) {
+            if (!written.removed) written.job.soil(written.page)
+            for (placement in written.planned) cluster.undo(placement)
+        }
+        cluster.tagsMoved = true
+    }
+
+    companion object {
+        const val MACHINES = "m/"
+
+        /** Well below the 64 KiB that a transaction may hold. */
+        private const val MAX_BYTES = 40_000
+        private val REFUSED_PAUSE = 300.millis
+        private val INVALID_PAUSE = 5.secs
+
+        fun machineKey(machine: Machine) = "$MACHINES${machine.id.value}"
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -0,0 +1,244 @@
+package wardmux.dispatch
+
+import wardmux.Desk
+import wardmux.JobId
+import wardmux.Micros
+import wardmux.app.OperatorSettings
+import wardmux.app.WorkerFacts
+import wardmux.cloud.MachineType
+import wardmux.fleet.Machine
+import wardmux.fleet.Placement
+import wardmux.fleet.TaskStatus
+import wardmux.intake.JobSpec
+import wardmux.intake.Urgency
+import wardmux.logger
+import wardmux.secs
+
+/**
+ * Decides what goes where. Of the waiting tasks that fit, exact fits come first; then the more
+ * urgent (they could stop the less urgent at once, so it is decided here and not by a start and a
+ * stop); then the team with the lowest start tag; within a team, the order of submission.
+ *
+ * Tasks of one job are alike: once one of them finds no machine, none of them is tried again in
+ * that pass, so a decision costs what it places plus one look for each class that waits.
+ */
+class Planner(
+    private val desk: Desk,
+    private val cluster: Cluster,
+    private val operators: OperatorSettings,
+    private val workers: WorkerFacts,
+    private val types: () -> List<MachineType>,
+) {
+    private val log = logger<Planner>()
+
+    /** Places what it can while [admits] has room for the job's page in the write to come. */
+    fun plan(admits: (Job, Int) -> Boolean) {
+        val machines = cluster.machines.values.filter { usable(it) }
+        val ready = cluster.jobs.values.filter { it.waiting > 0 && desk.wall >= it.notBefore }
+        if (ready.isEmpty()) {
+            if (cluster.jobs.values.all { it.placements.isEmpty() }) cluster.queue.idle()
+            return
+        }
+        val full = HashSet<JobId>()
+        for (exact in listOf(true, false)) {
+            for (urgency in Urgency.entries) {
+                val jobs = ready.filter { it.spec.urgency == urgency && it.id !in full }
+                if (jobs.isNotEmpty()) pass(jobs, machines, exact, full, admits)
+            }
+        }
+        for (job in ready) {
+            val blocked = job.waiting > 0 && cluster.headroom(job.spec) > 0
+            if (!blocked) job.blockedSince = null
+            else if (job.blockedSince == null) job.blockedSince = desk.now
+        }
+    }
+
+    private fun pass(
+        jobs: List<Job>,
+        machines: List<Machine>,
+        exact: Boolean,
+        full: MutableSet<JobId>,
+        admits: (Job, Int) -> Boolean,
+    ) {
+        val order = compareBy<Job>({ it.atFault }, { it.acceptedAt.value }, { it.id.value })
+        val byTeam =
+            jobs.groupBy { it.spec.team }.mapValues { (_, own) ->
+                ArrayDeque(own.sortedWith(order))
+            }
+        val teams = byTeam.keys.toMutableSet()
+        while (teams.isNotEmpty()) {
+            val team = teams.minWith(compareBy({ cluster.queue.startTag(it) }, { it }))
+            val own = byTeam.getValue(team)
+            val job = own.firstOrNull()
+            if (job == null) {
+                teams.remove(team)
+                continue
+            }
+            if (!placeOne(job, machines, exact, full, admits)) own.removeFirst()
+        }
+    }
+
+    private fun placeOne(
+        job: Job,
+        machines: List<Machine>,
+        exact: Boolean,
+        full: MutableSet<JobId>,
+        admits: (Job, Int) -> Boolean,
+    ): Boolean {
+        if (job.waiting <= 0 || cluster.headroom(job.spec) < 1) return false
+        val machine = choose(job, machines, exact) ?: return false
+        val task = job.takeWaiting()
+        if (task < 0) return false
+        if (!admits(job, task)) {
+            job.putBack(task)
+            full.add(job.id)
+            return false
+        }
+        val placement = cluster.place(job, task, machine)
+        log.debug("{} try {} goes to {}", placement.task, placement.attempt, machine.id)
+        return true
+    }
+
+    private fun usable(machine: Machine): Boolean {
+        val heardAt = machine.heardAt ?: return false
+        val quiet = (workers.reportS * operators.quietReports).secs
+        return machine.confirmed &&
+            !machine.condemned &&
+            machine.recalledAt == null &&
+            desk.now - heardAt < quiet &&
+            desk.now >= machine.pausedUntil
+    }
+
+    /** True if this is the smallest machine type that a task like this fits. */
+    fun exactFor(spec: JobSpec, type: MachineType): Boolean =
+        types().filter { it.allowedFor(spec) }.minByOrNull { it.cpus }?.label == type.label
+
+    private fun allowed(spec: JobSpec, machine: Machine): Boolean =
+        (spec.spot || !machine.spot) &&
+            (spec.types == null || machine.type.label in spec.types) &&
+            (spec.zone == null || spec.zone == machine.zone)
+
+    private fun choose(job: Job, machines: List<Machine>, exact: Boolean): Machine? {
+        val spec = job.spec
+        val zones = if (spec.oneZone || spec.spread) zonesOf(job) else emptyMap()
+        var best: Machine? = null
+        var bestScore = Double.MAX_VALUE
+        for (machine in machines) {
+            if (!allowed(spec, machine) || !machine.fits(spec)) continue
+            if (exact && !exactFor(spec, machine.type)) continue
+            if (machine.id in job.failedOn && machines.size > job.failedOn.size) continue
+            if (spec.oneZone && zones.isNotEmpty() && machine.zone !in zones) continue
+            if (spec.spread && (zones[machine.zone] ?: 0) >= spec.zoneLimit) continue
+            val score = score(spec, machine)
+            if (score < bestScore) {
+                best = machine
+                bestScore = score
+            }
+        }
+        return best
+    }
+
+    /** Where the job's tasks are or may be, with how many. */
+    private fun zonesOf(job: Job): Map<String, Int> {
+        val zones = HashMap<String, Int>()
+        for (placement in job.placements.values) {
+            val zone = cluster.machines[placement.machine]?.zone ?: continue
+            zones.merge(zone, 1, Int::plus)
+        }
+        return zones
+    }
+
+    /** Seconds until the task could start, then how much room would be left over. */
+    private fun score(spec: JobSpec, machine: Machine): Double {
+        val fetch =
+            if (machine.hasImage(spec.image)) 0.0 else spec.imageGb / machine.type.fetchGbPerS
+        return fetch * FETCH_WEIGHT + (machine.freeCpus - spec.cpus) / machine.type.cpus
+    }
+
+    /**
+     * Stops work to make room: for a job of higher urgency, or to give a team its guarantee at the
+     * cost of what another team runs beyond its own. Sized by class: as much as the job's waiting
+     * tasks need and no more, counting what is on its way out already.
+     */
+    fun preempt() {
+        val blocked =
+            cluster.jobs.values.filter { job ->
+                val since = job.blockedSince
+                since != null &&
+                    job.waiting > 0 &&
+                    !job.atFault &&
+                    desk.now - since >= operators.preemptAfterS.secs
+            }
+        if (blocked.isEmpty()) return
+        var leaving =
+            cluster.machines.values.sumOf { m ->
+                m.placements.values.filter { it.halting }.sumOf { it.job.spec.cpus }
+            }
+        for (job in blocked.sortedWith(compareBy({ it.spec.urgency }, { it.acceptedAt.value }))) {
+            val tasks = minOf(job.waiting, cluster.headroom(job.spec), MOST_AT_ONCE)
+            var wanted = tasks * job.spec.cpus
+            val already = minOf(wanted, leaving)
+            wanted -= already
+            leaving -= already
+            if (wanted > 0) leaving += makeRoom(job, wanted)
+        }
+    }
+
+    private fun makeRoom(job: Job, wanted: Double): Double {
+        val victims =
+            cluster.machines.values
+                .filter { usable(it) && allowed(job.spec, it) && it.type.holds(job.spec) }
+                .flatMap { it.placements.values }
+                .filter { it.committed && !it.halting && it.status != null && mayStop(job, it) }
+                .sortedBy { loss(it) }
+        var freed = 0.0
+        var used = 0.0
+        for (victim in victims) {
+            if (used >= wanted) break
+            // Nearly done: its room comes by itself.
+            if (remaining(victim) < SOON) continue
+            stop(victim, "room for ${job.id}")
+            freed += victim.job.spec.cpus
+            used += victim.job.spec.cpus
+        }
+        return freed - wanted.coerceAtMost(freed)
+    }
+
+    private fun mayStop(job: Job, victim: Placement): Boolean {
+        val other = victim.job.spec
+        if (other.urgency > job.spec.urgency) return true
+        if (other.team == job.spec.team) return false
+        val own = cluster.teams[job.spec.team] ?: return false
+        val theirs = cluster.teams[other.team] ?: return false
+        return cluster.usedCpus(job.spec.team) + job.spec.cpus <= own.cpus &&
+            cluster.usedCpus(other.team) - other.cpus >= theirs.cpus
+    }
+
+    private fun remaining(victim: Placement): Micros {
+        val since = victim.runningSince ?: return cluster.estimates.runTime(victim.job.spec)
+        return cluster.estimates.runTime(victim.job.spec) - (desk.now - since)
+    }
+
+    /** CPU-seconds that stopping it throws away. */
+    private fun loss(victim: Placement): Double {
+        val spec = victim.job.spec
+        val since = victim.runningSince ?: return 0.0
+        val lost = if (spec.savable) spec.saveS else (desk.now - since).seconds
+        return (lost + RESTART_S) * spec.cpus
+    }
+
+    fun stop(victim: Placement, why: String) {
+        val spec = victim.job.spec
+        val save = spec.savable && victim.status == TaskStatus.RUNNING
+        victim.haltWithin = if (save) (spec.saveS + SAVE_MARGIN_S).secs else Micros.ZERO
+        log.info("stopping {} on {}: {}", victim.task, victim.machine, why)
+    }
+
+    private companion object {
+        const val FETCH_WEIGHT = 0.5
+        const val MOST_AT_ONCE = 64
+        const val RESTART_S = 3.0
+        const val SAVE_MARGIN_S = 1.0
+        val SOON = 3.secs
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -0,0 +1,112 @@
+package wardmux.fleet
+
+import wardmux.MachineId
+import wardmux.Micros
+import wardmux.TaskId
+import wardmux.cloud.MachineType
+import wardmux.intake.JobSpec
+
+/** A machine as the leader knows it. */
+class Machine(
+    val id: MachineId,
+    val type: MachineType,
+    val zone: String,
+    val spot: Boolean,
+    /** When this controller first heard of it. */
+    val knownSince: Micros,
+) {
+    var shift = 0L
+    var tick = -1L
+
+    /** When its last report came that was newer than all before. */
+    var heardAt: Micros? = null
+
+    /** It has reported under this leader's token, so no earlier leader can order it about. */
+    var confirmed = false
+    var recalledAt: Micros? = null
+    var condemned = false
+    var condemnedWhy = ""
+    var deleting = false
+
+    /** The cloud lists it as up. */
+    var listedRunning = false
+    var idleSince = Micros.ZERO
+    var pausedUntil = Micros.LONG_AGO
+
+    /** Jobs whose tasks failed here since one last completed, with how many did. */
+    val failures = HashMap<String, Int>()
+
+    val placements = LinkedHashMap<TaskId, Placement>()
+
+    /** Reported without a record: they take room until they are gone. */
+    var strays = emptyList<JobSpec>()
+
+    private val images = LinkedHashMap<String, Double>()
+    private var usedCpus = 0.0
+    private var usedGpus = 0.0
+    private var usedMemory = 0.0
+
+    val up: Boolean
+        get() = heardAt != null
+
+    val empty: Boolean
+        get() = placements.isEmpty() && strays.isEmpty()
+
+    /** The larger of the booked shares of CPU, GPU and memory. */
+    val load: Double
+        get() =
+            maxOf(
+                usedCpus / type.cpus,
+                usedMemory / type.memoryGb,
+                if (type.gpus > 0) usedGpus / type.gpus else 0.0,
+            )
+
+    val freeCpus: Double
+        get() = type.cpus - usedCpus - strays.sumOf { it.cpus }
+
+    fun fits(spec: JobSpec): Boolean {
+        val slack = MachineType.EPSILON
+        return spec.cpus <= freeCpus + slack &&
+            spec.gpus <= type.gpus - usedGpus - strays.sumOf { it.gpus } + slack &&
+            spec.memoryGb <= type.memoryGb - usedMemory - strays.sumOf { it.memoryGb } + slack
+    }
+
+    fun add(placement: Placement) {
+        placements[placement.task] = placement
+        book(placement.job.spec, 1)
+    }
+
+    fun remove(placement: Placement, now: Micros) {
+        if (placements[placement.task] !== placement) return
+        placements.remove(placement.task)
+        book(placement.job.spec, -1)
+        if (empty) idleSince = now
+    }
+
+    private fun book(spec: JobSpec, sign: Int) {
+        usedCpus += sign * spec.cpus
+        usedGpus += sign * spec.gpus
+        usedMemory += sign * spec.memoryGb
+        if (placements.isEmpty()) {
+            usedCpus = 0.0
+            usedGpus = 0.0
+            usedMemory = 0.0
+        }
+    }
+
+    fun hasImage(image: String) = image in images
+
+    /** The most recently used images stay as long as the cache holds them. */
+    fun useImage(image: String, gb: Double) {
+        images.remove(image)
+        images[image] = gb
+        var total = images.values.sum()
+        val oldest = images.entries.iterator()
+        while (total > type.cacheGb && images.size > 1 && oldest.hasNext()) {
+            total -= oldest.next().value
+            oldest.remove()
+        }
+    }
+
+    fun clearImages() = images.clear()
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/fleet/Placement.kt
@@ -0,0 +1,32 @@
+package wardmux.fleet
+
+import wardmux.MachineId
+import wardmux.Micros
+import wardmux.TaskId
+import wardmux.dispatch.Charge
+import wardmux.dispatch.Job
+
+/** A task that is, or may be, on a machine. Written before its start goes out. */
+class Placement(
+    val job: Job,
+    val task: TaskId,
+    val attempt: Int,
+    val machine: MachineId,
+    val shift: Long,
+    val charge: Charge,
+    /** Time of day. */
+    val placedAt: Micros,
+) {
+    /** Written, so the start may go out. */
+    var committed = false
+
+    /** What the machine last reported of it, or null. */
+    var status: TaskStatus? = null
+    var runningSince: Micros? = null
+
+    /** It is being stopped: how long it may take to save. */
+    var haltWithin: Micros? = null
+
+    val halting: Boolean
+        get() = haltWithin != null
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/fleet/WorkerWire.kt
@@ -0,0 +1,67 @@
+package wardmux.fleet
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+@Serializable
+enum class TaskStatus {
+    @SerialName("fetching") FETCHING,
+    @SerialName("running") RUNNING,
+    @SerialName("saving") SAVING,
+    @SerialName("ended") ENDED,
+}
+
+@Serializable
+data class ReportedTask(
+    @SerialName("piece") val task: String,
+    @SerialName("try") val attempt: Int,
+    @SerialName("status") val statusName: String,
+    val cause: String? = null,
+    val kept: Boolean = false,
+) {
+    /** A state that this version doesn't know is taken for one in which the task runs. */
+    val status: TaskStatus
+        get() =
+            when (statusName) {
+                "fetching" -> TaskStatus.FETCHING
+                "saving" -> TaskStatus.SAVING
+                "ended" -> TaskStatus.ENDED
+                else -> TaskStatus.RUNNING
+            }
+}
+
+@Serializable
+data class Report(
+    @SerialName("box") val machine: String,
+    val endpoint: String = "",
+    @SerialName("boxkind") val type: String,
+    @SerialName("ward") val zone: String,
+    @SerialName("loaners") val spot: Boolean = false,
+    val shift: Long,
+    val tick: Long,
+    @SerialName("baton") val token: Long = 0,
+    @SerialName("recall_s") val recallS: Double? = null,
+    @SerialName("pieces") val tasks: List<ReportedTask> = emptyList(),
+)
+
+@Serializable
+data class Order(
+    val verb: String,
+    @SerialName("piece") val task: String,
+    @SerialName("try") val attempt: Int,
+    @SerialName("letgo_s") val withinS: Double? = null,
+) {
+    companion object {
+        fun start(p: Placement) = Order("start", p.task.toString(), p.attempt)
+
+        fun halt(task: String, attempt: Int, withinS: Double) =
+            Order("halt", task, attempt, withinS)
+
+        fun forget(task: String, attempt: Int) = Order("forget", task, attempt)
+    }
+}
+
+@Serializable
+data class HelloAnswer(@SerialName("baton") val token: Long, val orders: List<Order>)
+
+@Serializable data class Redirect(@SerialName("steward") val leader: String)
--- /dev/null
+++ b/src/main/kotlin/wardmux/http/HttpServer.kt
@@ -0,0 +1,139 @@
+package wardmux.http
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.timeout.ReadTimeoutHandler
+import io.netty.util.ReferenceCountUtil
+import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+import wardmux.Port
+import wardmux.logger
+
+const val MAX_BODY_BYTES = 64 * 1024
+
+/** A request as it came in; answered with [HttpServer.answer]. */
+class Arrival(val id: Long, val port: Port, val method: String, val path: String, val body: ByteArray)
+
+/** Netty's HTTP codec on NIO. Bounds how many connections are open and how long one may idle. */
+class HttpServer(
+    private val group: EventLoopGroup,
+    private val maxConnections: Int,
+    private val idleSeconds: Long,
+    private val onArrival: (Arrival) -> Unit,
+) {
+    private class Pending(val channel: Channel, val keepAlive: Boolean)
+
+    private val log = logger<HttpServer>()
+    private val pending = HashMap<Long, Pending>()
+    private var lastId = 0L
+    private var open = 0
+
+    fun listen(address: InetSocketAddress, port: Port): Channel =
+        ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.SO_BACKLOG, 1024)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                object : ChannelInitializer<SocketChannel>() {
+                    override fun initChannel(channel: SocketChannel) {
+                        channel
+                            .pipeline()
+                            .addLast(ReadTimeoutHandler(idleSeconds, TimeUnit.SECONDS))
+                            .addLast(HttpServerCodec(4096, 8192, 8192))
+                            .addLast(HttpObjectAggregator(MAX_BODY_BYTES))
+                            .addLast(Connection(port))
+                    }
+                }
+            )
+            .bind(address)
+            .sync()
+            .channel()
+
+    fun answer(id: Long, status: Int, body: ByteArray, retryAfterS: Int?) {
+        val waiting = pending.remove(id) ?: return
+        respond(waiting.channel, waiting.keepAlive, status, body, retryAfterS)
+    }
+
+    private fun respond(
+        channel: Channel,
+        keepAlive: Boolean,
+        status: Int,
+        body: ByteArray,
+        retryAfterS: Int?,
+    ) {
+        if (!channel.isActive) return
+        val response =
+            DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                Unpooled.wrappedBuffer(body),
+            )
+        val headers = response.headers()
+        headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+        headers.set(HttpHeaderNames.CONTENT_LENGTH, body.size)
+        if (retryAfterS != null) headers.set(HttpHeaderNames.RETRY_AFTER, retryAfterS)
+        if (!keepAlive) headers.set(HttpHeaderNames.CONNECTION, "close")
+        val sent = channel.writeAndFlush(response)
+        if (!keepAlive) sent.addListener(ChannelFutureListener.CLOSE)
+    }
+
+    private inner class Connection(private val port: Port) : ChannelInboundHandlerAdapter() {
+        private var current = 0L
+
+        override fun channelActive(context: ChannelHandlerContext) {
+            open++
+            // Too many: an answer at once, so that the asker can go elsewhere.
+            if (port == Port.API && open > maxConnections) {
+                respond(context.channel(), false, 503, ByteArray(0), 1)
+            }
+        }
+
+        override fun channelInactive(context: ChannelHandlerContext) {
+            open--
+            pending.remove(current)
+        }
+
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            try {
+                val request = message as? FullHttpRequest ?: return
+                if (request.decoderResult().isFailure) {
+                    respond(context.channel(), false, 400, ByteArray(0), null)
+                    return
+                }
+                val body = ByteArray(request.content().readableBytes())
+                request.content().readBytes(body)
+                val id = ++lastId
+                current = id
+                pending[id] = Pending(context.channel(), HttpUtil.isKeepAlive(request))
+                onArrival(Arrival(id, port, request.method().name(), request.uri(), body))
+            } finally {
+                ReferenceCountUtil.release(message)
+            }
+        }
+
+        @Deprecated("Netty's own marking")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            log.debug("connection closed: {}", cause.toString())
+            context.close()
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/intake/Intake.kt
@@ -0,0 +1,238 @@
+package wardmux.intake
+
+import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap
+import kotlinx.serialization.Serializable
+import wardmux.Desk
+import wardmux.JobId
+import wardmux.app.TeamFacts
+import wardmux.cloud.MachineType
+import wardmux.cloud.TypeBook
+import wardmux.logger
+import wardmux.peers.Progress
+import wardmux.store.Change
+import wardmux.store.Condition
+import wardmux.store.Item
+import wardmux.store.Priority
+import wardmux.store.Result
+import wardmux.store.StateStore
+import wardmux.store.lenientJson
+
+@Serializable
+private class StatusWire(
+    @kotlinx.serialization.SerialName("name_id") val id: String,
+    val status: String,
+    val done: Int? = null,
+    val running: Int? = null,
+)
+
+/**
+ * What users ask. Any controller writes a job's record itself, and answers only after the write; an
+ * answer that isn't final rests on a read that began after the request came.
+ */
+class Intake(
+    private val desk: Desk,
+    private val store: StateStore,
+    private val types: TypeBook,
+    teams: List<TeamFacts>,
+    private val progressOf: (JobId) -> Progress?,
+) {
+    private val log = logger<Intake>()
+    private val teams = teams.associateBy { it.name }
+
+    /** Final states never change, so they may be answered from memory. */
+    private val finals = Object2ObjectLinkedOpenHashMap<String, JobState>()
+
+    /** Polls of one job that wait for a read: those it serves, and those that came after it began. */
+    private class Reading(val serves: List<Long>) {
+        val next = ArrayList<Long>()
+    }
+
+    private val readings = HashMap<JobId, Reading>()
+
+    fun learnFinal(job: JobId, state: JobState) {
+        if (state == JobState.ACCEPTED) return
+        finals.putAndMoveToLast(job.value, state)
+        if (finals.size > MAX_FINALS) finals.removeFirst()
+    }
+
+    fun submit(call: Long, body: ByteArray) {
+        when (val submission = SubmissionReader.read(body)) {
+            is Submission.Malformed ->
+                refuse(call, submission.id, 400, submission.why)
+            is Submission.Good -> {
+                val spec = submission.spec
+                val final = finals[spec.id]
+                if (final != null) return answerFinal(call, spec.jobId, final)
+                val known = types.types
+                when {
+                    known == null -> settle(call, spec.jobId) { later(call) }
+                    neverRuns(spec, known) != null ->
+                        refuse(call, spec.jobId, 422, neverRuns(spec, known).orEmpty())
+                    else -> accept(call, spec)
+                }
+            }
+        }
+    }
+
+    /** A known job is never told that it is malformed or can't run, whatever the repeat says. */
+    private fun refuse(call: Long, id: JobId?, status: Int, why: String) {
+        val answer = {
+            log.debug("refused with {}: {}", status, why)
+            desk.answer(call, status, """{"error":${quote(why)}}""")
+        }
+        if (id == null) answer() else settle(call, id, answer)
+    }
+
+    private fun quote(text: String) =
+        lenientJson.encodeToString(kotlinx.serialization.serializer<String>(), text)
+
+    /** Answers with the state of a job that is known, or as [unknown] says. */
+    private fun settle(call: Long, id: JobId, unknown: () -> Unit) {
+        store.get(JobRecord.key(id)) { result ->
+            when (result) {
+                is Result.Ok -> answerRecord(call, id, JobRecord.of(result.value.data).state)
+                is Result.Absent -> unknown()
+                else -> later(call)
+            }
+        }
+    }
+
+    /** Why the job can never run, or null. */
+    private fun neverRuns(spec: JobSpec, known: List<MachineType>): String? {
+        val team = teams[spec.team] ?: return "unknown team"
+        if (known.none { it.allowedFor(spec) }) return "a task fits no allowed machine type"
+        val tasks = if (spec.shape == Shape.DAEMON) spec.tasks else 1
+        val slack = MachineType.EPSILON
+        return if (
+            spec.cpus * tasks > team.cpusMax + slack || spec.gpus * tasks > team.gpusMax + slack
+        )
+            "more than the team's limit"
+        else null
+    }
+
+    private fun accept(call: Long, spec: JobSpec) {
+        val id = spec.jobId
+        val record = JobRecord(JobState.ACCEPTED, desk.wall.value, spec).toJson()
+        val changes =
+            listOf(
+                Change(put = JobRecord.key(id), data = record),
+                Change(put = JobRecord.openKey(id), data = record),
+            )
+        val absent = listOf(Condition(JobRecord.key(id), 0))
+        store.multi(absent, changes, Priority.USER_WRITE) { result ->
+            when (result) {
+                is Result.Ok -> {
+                    log.info(
+                        "{} accepted: {} {} tasks of {} CPUs for {}",
+                        id,
+                        spec.tasks,
+                        spec.jobClass,
+                        spec.cpus,
+                        spec.team,
+                    )
+                    answerState(call, 201, id, JobState.ACCEPTED)
+                }
+                is Result.Conflict -> settle(call, id) { later(call) }
+                // Perhaps written: read before anything is said.
+                is Result.Unsure -> settle(call, id) { later(call) }
+                else -> later(call)
+            }
+        }
+    }
+
+    fun poll(call: Long, id: JobId) {
+        val final = finals[id.value]
+        if (final != null) return answerFinal(call, id, final)
+        val reading = readings[id]
+        if (reading == null) read(id, listOf(call)) else reading.next.add(call)
+    }
+
+    private fun read(id: JobId, calls: List<Long>) {
+        val reading = Reading(calls)
+        readings[id] = reading
+        store.get(JobRecord.key(id)) { result ->
+            readings.remove(id)
+            for (call in reading.serves) answerPoll(call, id, result)
+            if (reading.next.isNotEmpty()) read(id, reading.next)
+        }
+    }
+
+    private fun answerPoll(call: Long, id: JobId, result: Result<Item>) {
+        when (result) {
+            is Result.Ok -> answerRecord(call, id, JobRecord.of(result.value.data).state)
+            is Result.Absent -> desk.answer(call, 404, """{"error":"unknown job"}""")
+            else -> later(call)
+        }
+    }
+
+    fun abort(call: Long, id: JobId, tries: Int = 3) {
+        val final = finals[id.value]
+        if (final != null) return answerFinal(call, id, final)
+        store.get(JobRecord.key(id)) { result ->
+            when (result) {
+                is Result.Ok -> {
+                    val record = JobRecord.of(result.value.data)
+                    if (record.state == JobState.ACCEPTED) cancel(call, id, result.value, record, tries)
+                    else answerRecord(call, id, record.state)
+                }
+                is Result.Absent -> desk.answer(call, 404, """{"error":"unknown job"}""")
+                else -> later(call)
+            }
+        }
+    }
+
+    private fun cancel(call: Long, id: JobId, item: Item, record: JobRecord, tries: Int) {
+        val cancelled = record.copy(state = JobState.CANCELLED).toJson()
+        val changes =
+            listOf(
+                Change(put = JobRecord.key(id), data = cancelled),
+                Change(remove = JobRecord.openKey(id)),
+            )
+        val unchanged = listOf(Condition(JobRecord.key(id), item.stamp))
+        store.multi(unchanged, changes, Priority.USER_WRITE) { result ->
+            when {
+                result is Result.Ok -> {
+                    log.info("{} cancelled by its user", id)
+                    learnFinal(id, JobState.CANCELLED)
+                    answerState(call, 200, id, JobState.CANCELLED)
+                }
+                // Changed meanwhile, or perhaps written: the record tells.
+                (result is Result.Conflict || result is Result.Unsure) && tries > 0 ->
+                    abort(call, id, tries - 1)
+                else -> later(call)
+            }
+        }
+    }
+
+    private fun answerRecord(call: Long, id: JobId, state: JobState) {
+        learnFinal(id, state)
+        answerState(call, 200, id, state)
+    }
+
+    private fun answerFinal(call: Long, id: JobId, state: JobState) =
+        answerState(call, 200, id, state)
+
+    private fun answerState(call: Long, status: Int, id: JobId, state: JobState) {
+        val progress = progressOf(id)
+        val running = progress?.running ?: 0
+        val text =
+            when (state) {
+                JobState.DONE -> "done"
+                JobState.CANCELLED -> "cancelled"
+                JobState.ACCEPTED -> if (running > 0) "running" else "queued"
+            }
+        val wire =
+            if (state == JobState.ACCEPTED) StatusWire(id.value, text, progress?.done ?: 0, running)
+            else StatusWire(id.value, text)
+        desk.answer(call, status, lenientJson.encodeToString(StatusWire.serializer(), wire))
+    }
+
+    /** Can't be taken now; said at once, with when to come back. */
+    private fun later(call: Long) =
+        desk.answer(call, 503, """{"error":"state service not available"}""", RETRY_AFTER_S)
+
+    private companion object {
+        const val MAX_FINALS = 20_000
+        const val RETRY_AFTER_S = 1
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/intake/JobRecord.kt
@@ -0,0 +1,41 @@
+package wardmux.intake
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonElement
+import wardmux.JobId
+import wardmux.store.lenientJson
+
+@Serializable
+enum class JobState {
+    @SerialName("queued") ACCEPTED,
+    @SerialName("cancelled") CANCELLED,
+    @SerialName("done") DONE,
+}
+
+/**
+ * The only truth on whether a job is accepted, cancelled or done. It stays for ever; a done job's
+ * record needs no more than its state.
+ */
+@Serializable
+data class JobRecord(
+    val state: JobState,
+    /** Time of day of the acceptance, in microseconds. */
+    val acceptedAt: Long,
+    val spec: JobSpec? = null,
+) {
+    fun toJson(): JsonElement = lenientJson.encodeToJsonElement(serializer(), this)
+
+    companion object {
+        const val PREFIX = "j/"
+
+        /** Holds the record of each job that is not over yet, for the leader to watch and reload. */
+        const val OPEN_PREFIX = "q/"
+
+        fun key(job: JobId) = PREFIX + job.value
+
+        fun openKey(job: JobId) = OPEN_PREFIX + job.value
+
+        fun of(json: JsonElement): JobRecord = lenientJson.decodeFromJsonElement(serializer(), json)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/lead/Leadership.kt
@@ -0,0 +1,230 @@
+package wardmux.lead
+
+import kotlinx.serialization.Serializable
+import wardmux.Desk
+import wardmux.Micros
+import wardmux.Stamp
+import wardmux.Token
+import wardmux.logger
+import wardmux.millis
+import wardmux.secs
+import wardmux.store.Change
+import wardmux.store.Condition
+import wardmux.store.Priority
+import wardmux.store.Result
+import wardmux.store.StateStore
+import wardmux.store.lenientJson
+
+/** What the `leader` key says. [boot] tells the incarnations of one member apart. */
+@Serializable data class LeaderRecord(val member: String, val boot: Long)
+
+/** What a controller is to the others. */
+sealed interface Role {
+    /** [leader] is the last known, or null. */
+    data class Follower(val leader: String?, val token: Token?) : Role
+
+    data class Leader(val token: Token, val lease: Long) : Role {
+        /** Every write of the leader holds only while its key is as it was written. */
+        val condition: Condition
+            get() = Condition(Leadership.KEY, token.value)
+    }
+}
+
+/**
+ * Leadership is a key bound to a lease of the state service. The token is the revision of the write
+ * that took it, so a later leader's token is larger.
+ */
+class Leadership(
+    private val desk: Desk,
+    private val store: StateStore,
+    private val member: String,
+    private val boot: Long,
+    private val life: Micros,
+    private val listener: Listener,
+) {
+    interface Listener {
+        fun elected(role: Role.Leader)
+
+        fun deposed()
+    }
+
+    private val log = logger<Leadership>()
+    var role: Role = Role.Follower(null, null)
+        private set
+
+    private var sureUntil = Micros.LONG_AGO
+    private var renewAt = Micros.ZERO
+    private var renewing = false
+
+    /** When to read the key again; null while a request or watch is under way. */
+    private var lookAt: Micros? = Micros.LONG_AGO
+
+    /** True while this controller surely holds its lease. */
+    val sure: Boolean
+        get() = role is Role.Leader && desk.now < sureUntil
+
+    fun tick() {
+        val due = lookAt
+        if (due != null && desk.now >= due) look()
+        val leader = role as? Role.Leader ?: return
+        if (!renewing && desk.now >= renewAt) renew(leader)
+    }
+
+    /** A token larger than this controller's own shows that another one leads. */
+    fun seen(token: Token) {
+        val leader = role as? Role.Leader ?: return
+        if (token > leader.token) {
+            log.info("token {} is over: {} was seen", leader.token, token)
+            depose(null, token)
+            lookAgain(Micros.ZERO)
+        }
+    }
+
+    /** Told by a sibling that leads; only a hint for whom to name to workers. */
+    fun heard(leader: String, token: Token) {
+        seen(token)
+        val follower = role as? Role.Follower ?: return
+        if (follower.token == null || token > follower.token) {
+            role = Role.Follower(leader, token)
+        }
+    }
+
+    private fun lookAgain(pause: Micros) {
+        lookAt = desk.now + pause
+    }
+
+    private fun look() {
+        lookAt = null
+        store.get(KEY, Priority.LEASE) { result ->
+            when (result) {
+                is Result.Ok -> found(result.value.data, Stamp(result.value.stamp), result.value.permit)
+                is Result.Absent -> stand()
+                else -> lookAgain(RETRY)
+            }
+        }
+    }
+
+    private fun found(data: kotlinx.serialization.json.JsonElement, stamp: Stamp, lease: Long?) {
+        val record = lenientJson.decodeFromJsonElement(LeaderRecord.serializer(), data)
+        when {
+            record.member != member -> follow(record.member, Token(stamp.value))
+            record.boot == boot && lease != null -> {
+                // Our own write whose response was lost.
+                take(Role.Leader(Token(stamp.value), lease), desk.now)
+                // How old the lease is isn't known, so it is renewed before anything starts.
+                sureUntil = Micros.LONG_AGO
+                renewAt = desk.now
+            }
+            lease != null -> {
+                log.info("ending the lease of this member's former process")
+                store.end(lease) { lookAgain(Micros.ZERO) }
+            }
+            else -> lookAgain(RETRY)
+        }
+    }
+
+    private fun stand() {
+        val askedAt = desk.now
+        store.grant(life) { granted ->
+            if (granted !is Result.Ok) {
+                lookAgain(RETRY)
+                return@grant
+            }
+            val lease = granted.value
+            val record = LeaderRecord(member, boot)
+            val change =
+                Change(
+                    put = KEY,
+                    data = lenientJson.encodeToJsonElement(LeaderRecord.serializer(), record),
+                    permit = lease,
+                )
+            store.multi(listOf(Condition(KEY, 0)), listOf(change), Priority.LEASE) { written ->
+                when (written) {
+                    is Result.Ok -> take(Role.Leader(Token(written.value), lease), askedAt)
+                    is Result.Conflict -> {
+                        store.end(lease) {}
+                        lookAgain(Micros.ZERO)
+                    }
+                    else -> lookAgain(RETRY)
+                }
+            }
+        }
+    }
+
+    private fun take(leader: Role.Leader, since: Micros) {
+        lookAt = null
+        role = leader
+        sureUntil = until(since)
+        renewAt = since + life * RENEW_PART
+        renewing = false
+        store.lead(true)
+        log.info("{} leads with token {}", member, leader.token)
+        listener.elected(leader)
+    }
+
+    private fun follow(leader: String, token: Token) {
+        if (role != Role.Follower(leader, token)) log.info("following {} with token {}", leader, token)
+        role = Role.Follower(leader, token)
+        watch(token.value)
+    }
+
+    private fun watch(from: Long) {
+        store.watch(KEY, from, WATCH_TIME) { result ->
+            if (role is Role.Leader) return@watch
+            when (result) {
+                is Result.Ok ->
+                    if (result.value.events.isEmpty()) watch(maxOf(from, result.value.epoch))
+                    else lookAgain(Micros.ZERO)
+                else -> lookAgain(RETRY)
+            }
+        }
+    }
+
+    private fun renew(leader: Role.Leader) {
+        renewing = true
+        val sentAt = desk.now
+        store.renew(leader.lease) { result ->
+            if (role != leader) return@renew
+            renewing = false
+            when (result) {
+                is Result.Ok -> {
+                    sureUntil = until(sentAt)
+                    renewAt = sentAt + life * RENEW_PART
+                }
+                is Result.Absent -> {
+                    log.info("the lease of token {} is over", leader.token)
+                    depose(null, leader.token)
+                    lookAgain(Micros.ZERO)
+                }
+                else -> renewAt = desk.now + RETRY
+            }
+        }
+    }
+
+    private fun depose(leader: String?, token: Token?) {
+        role = Role.Follower(leader, token)
+        sureUntil = Micros.LONG_AGO
+        store.lead(false)
+        listener.deposed()
+    }
+
+    /** A write was refused because the leader key isn't as it was written. */
+    fun fenced() {
+        val leader = role as? Role.Leader ?: return
+        log.info("fenced: token {} is over", leader.token)
+        depose(null, leader.token)
+        lookAgain(Micros.ZERO)
+    }
+
+    /** Counted from before the request was sent, with the clocks' drift and a margin. */
+    private fun until(sentAt: Micros) = sentAt + life * (1 - DRIFT) - MARGIN
+
+    companion object {
+        const val KEY = "leader"
+        const val DRIFT = 0.001
+        private const val RENEW_PART = 0.3
+        private val MARGIN = 100.millis
+        private val RETRY = 300.millis
+        private val WATCH_TIME = 8.secs
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/lead/Term.kt
@@ -0,0 +1,346 @@
+package wardmux.lead
+
+import wardmux.Desk
+import wardmux.JobId
+import wardmux.MachineId
+import wardmux.Micros
+import wardmux.Stamp
+import wardmux.app.OperatorSettings
+import wardmux.app.PlatformSettings
+import wardmux.cloud.CloudClient
+import wardmux.cloud.Hiring
+import wardmux.cloud.TypeBook
+import wardmux.dispatch.Cluster
+import wardmux.dispatch.FairQueue
+import wardmux.dispatch.Job
+import wardmux.dispatch.Ledger
+import wardmux.dispatch.Planner
+import wardmux.fleet.Fleet
+import wardmux.fleet.Machine
+import wardmux.fleet.Report
+import wardmux.intake.JobRecord
+import wardmux.intake.JobState
+import wardmux.logger
+import wardmux.millis
+import wardmux.peers.Progress
+import wardmux.secs
+import wardmux.store.Event
+import wardmux.store.Item
+import wardmux.store.Result
+import wardmux.store.StateStore
+
+/**
+ * All that a controller holds while it leads, from reading what is stored until it is deposed. A
+ * term that is over does nothing more.
+ */
+class Term(
+    private val desk: Desk,
+    private val store: StateStore,
+    private val leadership: Leadership,
+    private val role: Role.Leader,
+    private val types: TypeBook,
+    cloud: CloudClient,
+    platform: PlatformSettings,
+    private val operators: OperatorSettings,
+    private val learnFinal: (JobId, JobState) -> Unit,
+) : Ledger.Listener {
+    private val log = logger<Term>()
+    private val facts = platform.facts
+    private val pageSize = Job.pageSize(store.maxValueBytes)
+    private val queue =
+        FairQueue(
+            facts.teams.associate { it.name to it.cpus },
+            operators.halfLifeS.secs,
+            operators.normS,
+        )
+    private val cluster = Cluster(desk, facts.teams, queue)
+    private val planner =
+        Planner(desk, cluster, operators, facts.workers) { types.types.orEmpty() }
+    private val ledger =
+        Ledger(desk, store, cluster, role, operators.writePeriodS.secs, this)
+    private val fleet =
+        Fleet(
+            desk,
+            cluster,
+            planner,
+            types,
+            facts.workers,
+            operators,
+            role.token,
+            { leadership.sure },
+            { loaded },
+            ::condemn,
+        )
+    private val hiring =
+        Hiring(
+            desk,
+            cloud,
+            types,
+            cluster,
+            fleet,
+            planner,
+            operators,
+            facts.cloud,
+            role.token,
+            facts.zones,
+            ::condemn,
+        )
+    private var loaded = false
+    private var over = false
+
+    /** Counts readings of what is stored, so that the answers to an abandoned one are dropped. */
+    private var reading = 0
+    private var loadAt: Micros? = Micros.LONG_AGO
+    private var watchAt: Micros? = null
+    private var watchFrom = 0L
+    private var preemptAt = Micros.LONG_AGO
+
+    fun end() {
+        over = true
+        fleet.answerDeferred(all = true)
+    }
+
+    fun hello(call: Long, report: Report) {
+        fleet.hello(call, report)
+        cycle()
+    }
+
+    fun tick() {
+        cluster.reference = types.types?.maxByOrNull { it.cpus }
+        loadAt?.let { if (desk.now >= it && types.types != null) load() }
+        fleet.answerDeferred(all = false)
+        if (!loaded) return
+        watchAt?.let { if (desk.now >= it) watch() }
+        fleet.watchSilence()
+        hiring.tick(leadership.sure)
+        if (leadership.sure && desk.now >= preemptAt) {
+            preemptAt = desk.now + PREEMPT_PERIOD
+            planner.preempt()
+        }
+        sweep()
+        cycle()
+    }
+
+    /** Decides and writes, if the last write is settled. */
+    private fun cycle() {
+        if (!loaded || over || !leadership.sure || !ledger.ready) return
+        planner.plan(ledger.admitter())
+        ledger.flush()
+    }
+
+    private fun sweep() {
+        cluster.jobs.values.removeIf {
+            it.over && it.placements.isEmpty() && it.storedPages().isEmpty()
+        }
+    }
+
+    fun progress(): List<Progress> =
+        cluster.jobs.values.take(MOST_PROGRESS).map { progressOf(it) }
+
+    fun progressOf(id: JobId): Progress? = cluster.jobs[id]?.let { progressOf(it) }
+
+    private fun progressOf(job: Job): Progress {
+        val running = job.placements.values.count { it.runningSince != null }
+        return Progress(job.id.value, job.doneCount, running)
+    }
+
+    // Reading what is stored.
+
+    private fun load() {
+        loadAt = null
+        val own = ++reading
+        val again = { loadAt = desk.now + LOAD_RETRY }
+        store.scan(JobRecord.OPEN_PREFIX) { open ->
+            if (stale(own)) return@scan
+            if (open == null) return@scan again()
+            store.scan(Job.PAGES) { pages ->
+                if (stale(own)) return@scan
+                if (pages == null) return@scan again()
+                store.scan(Ledger.MACHINES) { condemned ->
+                    if (stale(own)) return@scan
+                    if (condemned == null) return@scan again()
+                    loadTags(own, open, pages.items, condemned.items)
+                }
+            }
+        }
+    }
+
+    private fun stale(own: Int) = over || own != reading
+
+    private fun loadTags(own: Int, open: StateStore.Scan, pages: List<Item>, condemned: List<Item>) {
+        store.get(FairQueue.KEY, wardmux.store.Priority.LEADER) { tags ->
+            if (stale(own)) return@get
+            when (tags) {
+                is Result.Ok -> queue.load(tags.value.data)
+                is Result.Absent -> Unit
+                else -> {
+                    loadAt = desk.now + LOAD_RETRY
+                    return@get
+                }
+            }
+            for (item in open.items) addJob(JobRecord.of(item.data), Stamp(item.stamp))
+            val byJob = pages.groupBy { it.key.removePrefix(Job.PAGES).substringBefore('/') }
+            val missing = byJob.keys.map { JobId(it) }.filter { it !in cluster.jobs }
+            loadOver(own, missing) { finishLoad(open.epoch, byJob, condemned) }
+        }
+    }
+
+    /** Jobs that are over, but of which pages are left: their tasks may still be somewhere. */
+    private fun loadOver(own: Int, missing: List<JobId>, then: () -> Unit) {
+        val id = missing.firstOrNull() ?: return then()
+        store.get(JobRecord.key(id), wardmux.store.Priority.LEADER) { result ->
+            if (stale(own)) return@get
+            if (result !is Result.Ok) {
+                loadAt = desk.now + LOAD_RETRY
+                return@get
+            }
+            val record = JobRecord.of(result.value.data)
+            // A done job's record holds no description, and nothing of it is on a machine.
+            val spec = record.spec ?: doneSpec(id)
+            val job = Job(spec, Stamp(result.value.stamp), Micros(record.acceptedAt), pageSize)
+            job.over = true
+            job.finished = record.state == JobState.DONE
+            cluster.jobs[id] = job
+            loadOver(own, missing.drop(1), then)
+        }
+    }
+
+    private fun finishLoad(epoch: Long, pages: Map<String, List<Item>>, condemned: List<Item>) {
+        for ((id, items) in pages) {
+            val job = cluster.jobs[JobId(id)] ?: continue
+            for (item in items) {
+                val page = item.key.substringAfterLast('/').toInt()
+                val placed = job.load(page, item.stamp, item.data)
+                if (job.finished) {
+                    job.placements.clear()
+                    continue
+                }
+                for (placement in placed) {
+                    cluster.restore(placement, cluster.machines[placement.machine])
+                }
+            }
+        }
+        for (item in condemned) {
+            val id = MachineId(item.key.removePrefix(Ledger.MACHINES))
+            markCondemned(id)
+        }
+        watchFrom = epoch
+        watchAt = desk.now
+        loaded = true
+        log.info(
+            "token {} has read {} jobs with {} placements",
+            role.token,
+            cluster.jobs.size,
+            cluster.jobs.values.sumOf { it.placements.size },
+        )
+    }
+
+    /** Recorded by an earlier leader, which may not have come to delete it. */
+    private fun markCondemned(id: MachineId) {
+        val label = types.types?.firstOrNull()?.label ?: return
+        val machine = fleet.machine(id, label, "", false) ?: return
+        machine.condemned = true
+        machine.condemnedWhy = "condemned earlier"
+        machine.deleting = true
+    }
+
+    private fun addJob(record: JobRecord, stamp: Stamp) {
+        val spec = record.spec ?: return
+        if (spec.jobId in cluster.jobs) return
+        cluster.jobs[spec.jobId] = Job(spec, stamp, Micros(record.acceptedAt), pageSize)
+    }
+
+    private fun watch() {
+        watchAt = null
+        val own = reading
+        store.watch(JobRecord.OPEN_PREFIX, watchFrom, WATCH_TIME) { result ->
+            if (stale(own)) return@watch
+            when (result) {
+                is Result.Ok -> {
+                    watchFrom = maxOf(watchFrom, result.value.epoch)
+                    for (event in result.value.events) take(event)
+                    watchAt = desk.now + WATCH_PAUSE
+                    cycle()
+                }
+                // Too old to go on from.
+                is Result.Invalid -> lost()
+                else -> watchAt = desk.now + WATCH_RETRY
+            }
+        }
+    }
+
+    private fun take(event: Event) {
+        val put = event.put
+        val removed = event.remove
+        if (put != null && event.data != null) {
+            addJob(JobRecord.of(event.data), Stamp(event.stamp))
+        } else if (removed != null) {
+            val job = cluster.jobs[JobId(removed.removePrefix(JobRecord.OPEN_PREFIX))] ?: return
+            if (job.finished || job.over) return
+            log.info("{} is cancelled; {} tasks are out", job.id, job.placements.size)
+            job.over = true
+        }
+    }
+
+    // What the ledger tells.
+
+    override fun written() {
+        fleet.answerDeferred(all = true)
+    }
+
+    override fun fenced() = leadership.fenced()
+
+    override fun lost() {
+        loaded = false
+        reading++
+        watchAt = null
+        fleet.answerDeferred(all = true)
+        for (machine in cluster.machines.values) {
+            cluster.setStrays(machine, emptyList())
+            for (placement in machine.placements.values.toList()) machine.remove(placement, desk.now)
+        }
+        cluster.forgetJobs()
+        loadAt = desk.now
+    }
+
+    override fun finished(job: Job) {
+        log.info("{} is done", job.id)
+        learnFinal(job.id, JobState.DONE)
+    }
+
+    override fun changed(job: Job) {
+        // Its user has cancelled it; the watch will say so too.
+        if (!job.finished) {
+            log.info("{} was cancelled meanwhile", job.id)
+            job.over = true
+        }
+    }
+
+    override fun condemned(machine: Machine) {
+        machine.deleting = true
+    }
+
+    private fun condemn(machine: Machine, why: String) {
+        if (machine.condemned) return
+        log.info("{} is given up: {}; {} tasks there", machine.id, why, machine.placements.size)
+        machine.condemned = true
+        machine.condemnedWhy = why
+        ledger.condemn(machine)
+    }
+
+    private fun doneSpec(id: JobId) =
+        wardmux.intake.JobSpec(
+            id.value, "", "", wardmux.intake.Shape.BATCH, wardmux.intake.Urgency.IDLE,
+            wardmux.intake.SubmissionReader.MAX_TASKS, 0.0, 0.0, 0.0, "", 0.0, null, null,
+            oneZone = false, spread = false, spot = false, estimateS = 0.0, checkpointS = 0.0, saveS = 0.0,
+        )
+
+    private companion object {
+        val LOAD_RETRY = 300.millis
+        val WATCH_TIME = 8.secs
+        val WATCH_PAUSE = 80.millis
+        val WATCH_RETRY = 400.millis
+        val PREEMPT_PERIOD = 500.millis
+        const val MOST_PROGRESS = 500
+    }
+}
