--- a/src/main/kotlin/wardmux/Core.kt
+++ b/src/main/kotlin/wardmux/Core.kt
@@ -23,8 +23,13 @@
     /** Time has passed; sent several times a second. */
     data object Tick : Input
 
-    class Call(val id: Long, val port: Port, val method: String, val path: String, val body: ByteArray) :
-        Input
+    class Call(
+        val id: Long,
+        val port: Port,
+        val method: String,
+        val path: String,
+        val body: ByteArray,
+    ) : Input
 
     class Reply(val id: Long, val outcome: Outcome) : Input
 }
@@ -42,7 +47,8 @@
 
 /** What the core wants done. */
 sealed interface Effect {
-    class Answer(val id: Long, val status: Int, val body: ByteArray, val retryAfterS: Int? = null) : Effect
+    class Answer(val id: Long, val status: Int, val body: ByteArray, val retryAfterS: Int? = null) :
+        Effect
 
     class Send(
         val id: Long,
--- a/src/main/kotlin/wardmux/app/Controller.kt
+++ b/src/main/kotlin/wardmux/app/Controller.kt
@@ -76,8 +76,7 @@
         term = null
     }
 
-    private fun progressOf(id: JobId) =
-        term?.progressOf(id) ?: peers.progressOf(id.value)
+    private fun progressOf(id: JobId) = term?.progressOf(id) ?: peers.progressOf(id.value)
 
     fun handle(now: Micros, wall: Micros, input: Input): List<Effect> {
         desk.at(now, wall)
--- a/src/main/kotlin/wardmux/app/Daemon.kt
+++ b/src/main/kotlin/wardmux/app/Daemon.kt
@@ -21,7 +21,8 @@
     private val core = Controller(platform, operators, seed)
     private val limit = platform.facts.limits.fdLimit
     private val server =
-        HttpServer(group, limit - RESERVED_SOCKETS.coerceAtMost(limit / 2), IDLE_SECONDS) { arrival ->
+        HttpServer(group, limit - RESERVED_SOCKETS.coerceAtMost(limit / 2), IDLE_SECONDS) { arrival
+            ->
             feed(Input.Call(arrival.id, arrival.port, arrival.method, arrival.path, arrival.body))
         }
     private val clients = HashMap<Target, HttpClient>()
@@ -40,7 +41,8 @@
 
     fun run() {
         val loop = group.next()
-        loop.submit {
+        loop
+            .submit {
                 loop.scheduleWithFixedDelay(
                     { feed(Input.Tick) },
                     0,
--- a/src/main/kotlin/wardmux/app/OperatorSettings.kt
+++ b/src/main/kotlin/wardmux/app/OperatorSettings.kt
@@ -26,6 +26,8 @@
     @SerialName("spare_share") val spareShare: Double = 0.15,
     /** Wait after which urgent work may stop work of a lower urgency. */
     @SerialName("preempt_after_s") val preemptAfterS: Double = 1.5,
+    /** Wait after which a team below its guarantee may stop what another runs beyond its own. */
+    @SerialName("call_back_after_s") val callBackAfterS: Double = 10.0,
     /** How long a kind of machine that was refused is left alone. */
     @SerialName("refused_pause_s") val refusedPauseS: Double = 15.0,
     /** Seed of the random numbers; 0 takes one from the machine. */
@@ -44,6 +46,7 @@
                 range("idle_keep_s", idleKeepS, 0.0, 86400.0),
                 range("spare_share", spareShare, 0.0, 10.0),
                 range("preempt_after_s", preemptAfterS, 0.0, 3600.0),
+                range("call_back_after_s", callBackAfterS, 0.0, 3600.0),
                 range("refused_pause_s", refusedPauseS, 0.5, 3600.0),
             )
             .firstOrNull { it != null }
--- a/src/main/kotlin/wardmux/app/Rehearsal.kt
+++ b/src/main/kotlin/wardmux/app/Rehearsal.kt
@@ -13,7 +13,7 @@
         Thread.sleep(1_500)
     }
 
-    private val SAMPLE =
+    internal val SAMPLE =
         """
         member = "wardbox-0"
         site = "a"
--- a/src/main/kotlin/wardmux/app/Settings.kt
+++ b/src/main/kotlin/wardmux/app/Settings.kt
@@ -77,8 +77,7 @@
     @SerialName("txn_ops") val txnOps: Int,
 )
 
-@Serializable
-data class CloudFacts(val rps: Double, @SerialName("list_lag_s") val listLagS: Double)
+@Serializable data class CloudFacts(val rps: Double, @SerialName("list_lag_s") val listLagS: Double)
 
 @Serializable
 data class LimitFacts(
--- a/src/main/kotlin/wardmux/app/WardmuxCommand.kt
+++ b/src/main/kotlin/wardmux/app/WardmuxCommand.kt
@@ -22,7 +22,8 @@
 class WardmuxCommand : Runnable {
     @Spec lateinit var spec: CommandSpec
 
-    override fun run() = throw ParameterException(spec.commandLine(), "Missing command: serve or check")
+    override fun run() =
+        throw ParameterException(spec.commandLine(), "Missing command: serve or check")
 }
 
 class Version : IVersionProvider {
@@ -95,7 +96,9 @@
     }
 }
 
-/** Runs at build time: what it touches goes into the class-data archive, which start-up then maps. */
+/**
+ * Runs at build time: what it touches goes into the class-data archive, which start-up then maps.
+ */
 @Command(name = "rehearse", hidden = true)
 class RehearseCommand : Callable<Int> {
     override fun call(): Int {
--- a/src/main/kotlin/wardmux/cloud/CloudClient.kt
+++ b/src/main/kotlin/wardmux/cloud/CloudClient.kt
@@ -1,8 +1,8 @@
 package wardmux.cloud
 
 import kotlinx.serialization.SerialName
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import wardmux.Desk
 import wardmux.Outcome
 import wardmux.Target
@@ -34,8 +34,7 @@
     @SerialName("held_s") val heldS: Double = 0.0,
 )
 
-@Serializable
-private class ListWire(val boxes: List<ListedMachine>, val truncated: Boolean = false)
+@Serializable private class ListWire(val boxes: List<ListedMachine>, val truncated: Boolean = false)
 
 sealed interface CloudResult<out T> {
     data class Ok<T>(val value: T) : CloudResult<T>
--- a/src/main/kotlin/wardmux/cloud/Hiring.kt
+++ b/src/main/kotlin/wardmux/cloud/Hiring.kt
@@ -4,8 +4,8 @@
 import wardmux.MachineId
 import wardmux.Micros
 import wardmux.Token
-import wardmux.app.OperatorSettings
 import wardmux.app.CloudFacts
+import wardmux.app.OperatorSettings
 import wardmux.dispatch.Cluster
 import wardmux.dispatch.Planner
 import wardmux.fleet.Fleet
@@ -120,14 +120,16 @@
         val known = types.types ?: return
         val backlog = backlog(known)
         for (type in known) {
-            val own = cluster.machines.values.filter { it.type.label == type.label && !it.condemned }
+            val own =
+                cluster.machines.values.filter { it.type.label == type.label && !it.condemned }
             val inUse = own.sumOf { it.load }
             val now = inUse * (1 + operators.spareShare) + (backlog[type.label] ?: 0.0)
             val before = smoothed[type.label] ?: now
             val wanted = maxOf(now, before + (now - before) * SMOOTHING)
             smoothed[type.label] = wanted
-            val have = own.count { it.recalledAt == null } +
-                hiring.values.filter { it.type == type.label }.sumOf { it.count }
+            val have =
+                own.count { it.recalledAt == null } +
+                    hiring.values.filter { it.type == type.label }.sumOf { it.count }
             val missing = (wanted - have + ROUNDING).toInt()
             if (missing > 0) hire(type, missing)
             else if (have - wanted > 1) giveBack(own, have - wanted)
@@ -141,10 +143,13 @@
         for (job in cluster.jobs.values) {
             if (job.waiting == 0 || job.atFault) continue
             val spec = job.spec
-            val left = room.getOrPut(spec.team) {
-                (cluster.teams[spec.team]?.cpusMax ?: 0.0) - cluster.usedCpus(spec.team)
-            }
-            val tasks = if (spec.cpus > 0) minOf(job.waiting.toDouble(), left / spec.cpus) else job.waiting.toDouble()
+            val left =
+                room.getOrPut(spec.team) {
+                    (cluster.teams[spec.team]?.cpusMax ?: 0.0) - cluster.usedCpus(spec.team)
+                }
+            val tasks =
+                if (spec.cpus > 0) minOf(job.waiting.toDouble(), left / spec.cpus)
+                else job.waiting.toDouble()
             if (tasks <= 0) continue
             room[spec.team] = left - tasks * spec.cpus
             val type = known.filter { it.allowedFor(spec) }.minByOrNull { it.cpus } ?: continue
@@ -156,7 +161,9 @@
         return machines
     }
 
-    /** Spot machines first, spread over the zones; ordinary ones where no spot machine is to be had. */
+    /**
+     * Spot machines first, spread over the zones; ordinary ones where no spot machine is to be had.
+     */
     private fun hire(type: MachineType, missing: Int) {
         if (hiring.size >= MOST_HIRES) return
         for (spot in listOf(true, false)) {
@@ -217,9 +224,7 @@
     private fun giveBack(own: List<Machine>, surplus: Double) {
         var left = surplus.toInt()
         val idle =
-            own.filter {
-                    it.up && it.empty && desk.now - it.idleSince > operators.idleKeepS.secs
-                }
+            own.filter { it.up && it.empty && desk.now - it.idleSince > operators.idleKeepS.secs }
                 .sortedBy { it.spot }
         for (machine in idle) {
             if (left-- <= 0) return
--- a/src/main/kotlin/wardmux/cloud/TypeBook.kt
+++ b/src/main/kotlin/wardmux/cloud/TypeBook.kt
@@ -13,7 +13,11 @@
  * The machine types, kept in the state service so that an outage of the cloud does not keep a fresh
  * controller from deciding.
  */
-class TypeBook(private val desk: Desk, private val store: StateStore, private val cloud: CloudClient) {
+class TypeBook(
+    private val desk: Desk,
+    private val store: StateStore,
+    private val cloud: CloudClient,
+) {
     var types: List<MachineType>? = null
         private set
 
--- a/src/main/kotlin/wardmux/dispatch/Cluster.kt
+++ b/src/main/kotlin/wardmux/dispatch/Cluster.kt
@@ -80,7 +80,13 @@
     /** The placement is proven gone from its machine. */
     fun release(placement: Placement, why: String) {
         if (placement.job.placements.get(placement.task.index) !== placement) return
-        log.debug("{} try {} is off {}: {}", placement.task, placement.attempt, placement.machine, why)
+        log.debug(
+            "{} try {} is off {}: {}",
+            placement.task,
+            placement.attempt,
+            placement.machine,
+            why,
+        )
         unbook(placement)
         placement.job.release(placement)
     }
--- a/src/main/kotlin/wardmux/dispatch/Ledger.kt
+++ b/src/main/kotlin/wardmux/dispatch/Ledger.kt
@@ -21,9 +21,9 @@
 import wardmux.store.StateStore
 
 /**
- * Writes what the leader decides, one transaction at a time. Each holds only while the leader key is
- * as this leader wrote it, and a page only while it is as it was last seen: a transaction that is
- * applied late, after it was given up on, therefore changes nothing.
+ * Writes what the leader decides, one transaction at a time. Each holds only while the leader key
+ * is as this leader wrote it, and a page only while it is as it was last seen: a transaction that
+ * is applied late, after it was given up on, therefore changes nothing.
  */
 class Ledger(
     private val desk: Desk,
@@ -89,11 +89,15 @@
         condemning.add(machine)
     }
 
-    /** Pages that one write may still take, for the planner: it places no more than can be written. */
+    /**
+     * Pages that one write may still take, for the planner: it places no more than can be written.
+     */
     fun admitter(): (Job, Int) -> Boolean {
         // One change is kept for the tags.
         var left = store.maxChanges - 1 - minOf(condemning.size, 1)
-        left -= cluster.jobs.values.count { it.complete && !it.finished && !it.over }.coerceAtMost(2) * 2
+        left -=
+            cluster.jobs.values.count { it.complete && !it.finished && !it.over }.coerceAtMost(2) *
+                2
         val planned = HashSet<String>()
         return { job, task ->
             val key = Job.pageKey(job.id, task / job.pageSize)
@@ -198,7 +202,10 @@
             }
             is Result.Invalid,
             is Result.Absent -> {
-                log.error("a write was found invalid: {}", draft.changes.map { it.put ?: it.remove })
+                log.error(
+                    "a write was found invalid: {}",
+                    draft.changes.map { it.put ?: it.remove },
+                )
                 takeBack(draft)
                 nextAt = desk.now + INVALID_PAUSE
             }
--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -62,9 +62,9 @@
     ) {
         val order = compareBy<Job>({ it.atFault }, { it.acceptedAt.value }, { it.id.value })
         val byTeam =
-            jobs.groupBy { it.spec.team }.mapValues { (_, own) ->
-                ArrayDeque(own.sortedWith(order))
-            }
+            jobs
+                .groupBy { it.spec.team }
+                .mapValues { (_, own) -> ArrayDeque(own.sortedWith(order)) }
         val teams = byTeam.keys.toMutableSet()
         while (teams.isNotEmpty()) {
             val team = teams.minWith(compareBy({ cluster.queue.startTag(it) }, { it }))
@@ -207,13 +207,18 @@
     private fun mayStop(job: Job, victim: Placement): Boolean {
         val other = victim.job.spec
         if (other.urgency > job.spec.urgency) return true
-        if (other.team == job.spec.team) return false
+        // A guarantee is called back only from work that keeps what it has done, and never from
+        // more urgent work: otherwise two teams below theirs stop each other without end.
+        if (other.team == job.spec.team || other.urgency < job.spec.urgency) return false
+        if (!other.savable || waited(job) < operators.callBackAfterS.secs) return false
         val own = cluster.teams[job.spec.team] ?: return false
         val theirs = cluster.teams[other.team] ?: return false
         return cluster.usedCpus(job.spec.team) + job.spec.cpus <= own.cpus &&
             cluster.usedCpus(other.team) - other.cpus >= theirs.cpus
     }
 
+    private fun waited(job: Job): Micros = job.blockedSince?.let { desk.now - it } ?: Micros.ZERO
+
     private fun remaining(victim: Placement): Micros {
         val since = victim.runningSince ?: return cluster.estimates.runTime(victim.job.spec)
         return cluster.estimates.runTime(victim.job.spec) - (desk.now - since)
--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -1,7 +1,6 @@
 package wardmux.fleet
 
 import wardmux.Desk
-import wardmux.JobId
 import wardmux.MachineId
 import wardmux.Micros
 import wardmux.TaskId
@@ -69,8 +68,7 @@
         val id = MachineId(report.machine)
         if (id in gone) return desk.answer(call, 503)
         val machine =
-            machine(id, report.type, report.zone, report.spot)
-                ?: return answer(call, emptyList())
+            machine(id, report.type, report.zone, report.spot) ?: return answer(call, emptyList())
         // Not renewed: its lease is to end if its deletion takes long.
         if (machine.condemned) {
             if (isNewer(machine, report)) note(machine, report)
@@ -246,8 +244,9 @@
         deferred.removeAll(due.toSet())
         for (waiting in due) {
             // A newer report has come: nobody listens to this answer any more.
-            val current = waiting.report.tick == waiting.machine.tick &&
-                waiting.report.shift == waiting.machine.shift
+            val current =
+                waiting.report.tick == waiting.machine.tick &&
+                    waiting.report.shift == waiting.machine.shift
             if (current && !waiting.machine.condemned) {
                 answer(waiting.call, orders(waiting.machine, waiting.report))
             } else {
@@ -264,8 +263,7 @@
     /** Notices machines that fell silent. */
     fun watchSilence() {
         val lostAfter = (workers.reportS * operators.lostReports).secs
-        val leaseOver =
-            workers.leaseS.secs * (1 + Leadership.DRIFT) + operators.leaseMarginS.secs
+        val leaseOver = workers.leaseS.secs * (1 + Leadership.DRIFT) + operators.leaseMarginS.secs
         val up = cluster.machines.values.filter { it.up && !it.condemned }
         val silent = ArrayList<Machine>()
         for (machine in up) {
--- a/src/main/kotlin/wardmux/fleet/WorkerWire.kt
+++ b/src/main/kotlin/wardmux/fleet/WorkerWire.kt
@@ -61,7 +61,6 @@
     }
 }
 
-@Serializable
-data class HelloAnswer(@SerialName("baton") val token: Long, val orders: List<Order>)
+@Serializable data class HelloAnswer(@SerialName("baton") val token: Long, val orders: List<Order>)
 
 @Serializable data class Redirect(@SerialName("steward") val leader: String)
--- a/src/main/kotlin/wardmux/http/HttpClient.kt
+++ b/src/main/kotlin/wardmux/http/HttpClient.kt
@@ -76,11 +76,16 @@
                 }
             )
 
-    fun send(method: String, path: String, body: ByteArray, timeout: Micros, then: (Outcome) -> Unit) {
+    fun send(
+        method: String,
+        path: String,
+        body: ByteArray,
+        timeout: Micros,
+        then: (Outcome) -> Unit,
+    ) {
         val nanos = timeout.value * 1_000
         val order = Order(method, path, body, System.nanoTime() + nanos, then)
-        order.timer =
-            group.next().schedule({ expire(order) }, nanos, TimeUnit.NANOSECONDS)
+        order.timer = group.next().schedule({ expire(order) }, nanos, TimeUnit.NANOSECONDS)
         queue.addLast(order)
         pump()
     }
@@ -107,20 +112,22 @@
 
     private fun connect(order: Order) {
         connections++
-        bootstrap.connect(address).addListener(
-            ChannelFutureListener { future ->
-                val channel = future.channel()
-                when {
-                    !future.isSuccess -> {
-                        connections--
-                        order.end(Outcome.Unknown)
-                        pump()
+        bootstrap
+            .connect(address)
+            .addListener(
+                ChannelFutureListener { future ->
+                    val channel = future.channel()
+                    when {
+                        !future.isSuccess -> {
+                            connections--
+                            order.end(Outcome.Unknown)
+                            pump()
+                        }
+                        order.over -> release(channel)
+                        else -> write(channel, order)
                     }
-                    order.over -> release(channel)
-                    else -> write(channel, order)
                 }
-            }
-        )
+            )
     }
 
     private fun write(channel: Channel, order: Order) {
--- a/src/main/kotlin/wardmux/http/HttpServer.kt
+++ b/src/main/kotlin/wardmux/http/HttpServer.kt
@@ -29,7 +29,13 @@
 const val MAX_BODY_BYTES = 64 * 1024
 
 /** A request as it came in; answered with [HttpServer.answer]. */
-class Arrival(val id: Long, val port: Port, val method: String, val path: String, val body: ByteArray)
+class Arrival(
+    val id: Long,
+    val port: Port,
+    val method: String,
+    val path: String,
+    val body: ByteArray,
+)
 
 /** Netty's HTTP codec on NIO. Bounds how many connections are open and how long one may idle. */
 class HttpServer(
--- a/src/main/kotlin/wardmux/intake/Intake.kt
+++ b/src/main/kotlin/wardmux/intake/Intake.kt
@@ -42,7 +42,9 @@
     /** Final states never change, so they may be answered from memory. */
     private val finals = Object2ObjectLinkedOpenHashMap<String, JobState>()
 
-    /** Polls of one job that wait for a read: those it serves, and those that came after it began. */
+    /**
+     * Polls of one job that wait for a read: those it serves, and those that came after it began.
+     */
     private class Reading(val serves: List<Long>) {
         val next = ArrayList<Long>()
     }
@@ -57,8 +59,7 @@
 
     fun submit(call: Long, body: ByteArray) {
         when (val submission = SubmissionReader.read(body)) {
-            is Submission.Malformed ->
-                refuse(call, submission.id, 400, submission.why)
+            is Submission.Malformed -> refuse(call, submission.id, 400, submission.why)
             is Submission.Good -> {
                 val spec = submission.spec
                 val final = finals[spec.id]
@@ -172,7 +173,8 @@
             when (result) {
                 is Result.Ok -> {
                     val record = JobRecord.of(result.value.data)
-                    if (record.state == JobState.ACCEPTED) cancel(call, id, result.value, record, tries)
+                    if (record.state == JobState.ACCEPTED)
+                        cancel(call, id, result.value, record, tries)
                     else answerRecord(call, id, record.state)
                 }
                 is Result.Absent -> desk.answer(call, 404, """{"error":"unknown job"}""")
--- a/src/main/kotlin/wardmux/intake/JobRecord.kt
+++ b/src/main/kotlin/wardmux/intake/JobRecord.kt
@@ -29,7 +29,9 @@
     companion object {
         const val PREFIX = "j/"
 
-        /** Holds the record of each job that is not over yet, for the leader to watch and reload. */
+        /**
+         * Holds the record of each job that is not over yet, for the leader to watch and reload.
+         */
         const val OPEN_PREFIX = "q/"
 
         fun key(job: JobId) = PREFIX + job.value
--- a/src/main/kotlin/wardmux/intake/JobSpec.kt
+++ b/src/main/kotlin/wardmux/intake/JobSpec.kt
@@ -1,8 +1,8 @@
 package wardmux.intake
 
 import kotlinx.serialization.SerialName
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
--- a/src/main/kotlin/wardmux/lead/Leadership.kt
+++ b/src/main/kotlin/wardmux/lead/Leadership.kt
@@ -97,7 +97,8 @@
         lookAt = null
         store.get(KEY, Priority.LEASE) { result ->
             when (result) {
-                is Result.Ok -> found(result.value.data, Stamp(result.value.stamp), result.value.permit)
+                is Result.Ok ->
+                    found(result.value.data, Stamp(result.value.stamp), result.value.permit)
                 is Result.Absent -> stand()
                 else -> lookAgain(RETRY)
             }
@@ -163,7 +164,8 @@
     }
 
     private fun follow(leader: String, token: Token) {
-        if (role != Role.Follower(leader, token)) log.info("following {} with token {}", leader, token)
+        if (role != Role.Follower(leader, token))
+            log.info("following {} with token {}", leader, token)
         role = Role.Follower(leader, token)
         watch(token.value)
     }
--- a/src/main/kotlin/wardmux/lead/Term.kt
+++ b/src/main/kotlin/wardmux/lead/Term.kt
@@ -54,10 +54,8 @@
             operators.normS,
         )
     private val cluster = Cluster(desk, facts.teams, queue)
-    private val planner =
-        Planner(desk, cluster, operators, facts.workers) { types.types.orEmpty() }
-    private val ledger =
-        Ledger(desk, store, cluster, role, operators.writePeriodS.secs, this)
+    private val planner = Planner(desk, cluster, operators, facts.workers) { types.types.orEmpty() }
+    private val ledger = Ledger(desk, store, cluster, role, operators.writePeriodS.secs, this)
     private val fleet =
         Fleet(
             desk,
@@ -134,8 +132,7 @@
         }
     }
 
-    fun progress(): List<Progress> =
-        cluster.jobs.values.take(MOST_PROGRESS).map { progressOf(it) }
+    fun progress(): List<Progress> = cluster.jobs.values.take(MOST_PROGRESS).map { progressOf(it) }
 
     fun progressOf(id: JobId): Progress? = cluster.jobs[id]?.let { progressOf(it) }
 
@@ -167,7 +164,12 @@
 
     private fun stale(own: Int) = over || own != reading
 
-    private fun loadTags(own: Int, open: StateStore.Scan, pages: List<Item>, condemned: List<Item>) {
+    private fun loadTags(
+        own: Int,
+        open: StateStore.Scan,
+        pages: List<Item>,
+        condemned: List<Item>,
+    ) {
         store.get(FairQueue.KEY, wardmux.store.Priority.LEADER) { tags ->
             if (stale(own)) return@get
             when (tags) {
@@ -297,7 +299,10 @@
         fleet.answerDeferred(all = true)
         for (machine in cluster.machines.values) {
             cluster.setStrays(machine, emptyList())
-            for (placement in machine.placements.values.toList()) machine.remove(placement, desk.now)
+            for (placement in machine.placements.values.toList()) machine.remove(
+                placement,
+                desk.now,
+            )
         }
         cluster.forgetJobs()
         loadAt = desk.now
@@ -330,9 +335,25 @@
 
     private fun doneSpec(id: JobId) =
         wardmux.intake.JobSpec(
-            id.value, "", "", wardmux.intake.Shape.BATCH, wardmux.intake.Urgency.IDLE,
-            wardmux.intake.SubmissionReader.MAX_TASKS, 0.0, 0.0, 0.0, "", 0.0, null, null,
-            oneZone = false, spread = false, spot = false, estimateS = 0.0, checkpointS = 0.0, saveS = 0.0,
+            id.value,
+            "",
+            "",
+            wardmux.intake.Shape.BATCH,
+            wardmux.intake.Urgency.IDLE,
+            wardmux.intake.SubmissionReader.MAX_TASKS,
+            0.0,
+            0.0,
+            0.0,
+            "",
+            0.0,
+            null,
+            null,
+            oneZone = false,
+            spread = false,
+            spot = false,
+            estimateS = 0.0,
+            checkpointS = 0.0,
+            saveS = 0.0,
         )
 
     private companion object {
--- a/src/main/kotlin/wardmux/peers/Beat.kt
+++ b/src/main/kotlin/wardmux/peers/Beat.kt
@@ -1,8 +1,8 @@
 package wardmux.peers
 
 import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 
 /** How far a job is, for display. */
--- a/src/main/kotlin/wardmux/peers/Peers.kt
+++ b/src/main/kotlin/wardmux/peers/Peers.kt
@@ -8,7 +8,11 @@
 import wardmux.secs
 
 /** Talk between the controllers: the leader tells who leads and how far the jobs are. */
-class Peers(private val desk: Desk, private val member: String, private val siblings: List<String>) {
+class Peers(
+    private val desk: Desk,
+    private val member: String,
+    private val siblings: List<String>,
+) {
     private var beatAt = Micros.ZERO
     private val busy = HashSet<String>()
     private var progress = emptyMap<String, Progress>()
--- a/src/main/kotlin/wardmux/store/StateStore.kt
+++ b/src/main/kotlin/wardmux/store/StateStore.kt
@@ -1,14 +1,13 @@
 package wardmux.store
 
 import kotlinx.serialization.SerialName
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonElement
 import wardmux.Desk
 import wardmux.Micros
 import wardmux.Outcome
-import wardmux.Stamp
 import wardmux.Target
 import wardmux.app.StateFacts
 import wardmux.logger
@@ -135,9 +134,7 @@
             when (status) {
                 200 -> Result.Ok(lenientJson.decodeFromString(Item.serializer(), text))
                 404 ->
-                    Result.Absent(
-                        lenientJson.decodeFromString(AbsentWire.serializer(), text).epoch
-                    )
+                    Result.Absent(lenientJson.decodeFromString(AbsentWire.serializer(), text).epoch)
                 else -> failure(status)
             }
         }
@@ -183,8 +180,10 @@
         priority: Priority,
         then: (Result<Long>) -> Unit,
     ) {
-        val body = lenientJson.encodeToString(MultiWire.serializer(), MultiWire(conditions, changes))
-        submit(priority, changes.size, "POST", "/multi", body, WRITE_TIMEOUT, then) { status, text ->
+        val body =
+            lenientJson.encodeToString(MultiWire.serializer(), MultiWire(conditions, changes))
+        submit(priority, changes.size, "POST", "/multi", body, WRITE_TIMEOUT, then) { status, text
+            ->
             when (status) {
                 200 ->
                     Result.Ok(lenientJson.decodeFromString(CommittedWire.serializer(), text).epoch)
--- /dev/null
+++ b/src/test/kotlin/wardmux/app/SettingsTest.kt
@@ -0,0 +1,72 @@
+package wardmux.app
+
+import java.io.File
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+import org.junit.jupiter.api.io.TempDir
+
+class SettingsTest {
+    @TempDir lateinit var dir: File
+
+    private fun file(text: String) = File(dir, "settings.toml").also { it.writeText(text) }
+
+    private fun refused(text: String): String {
+        val message = assertFailsWith<BadSettings> { SettingsFiles.platform(file(text)) }.message
+        assertEquals(1, message.orEmpty().lines().size)
+        return message.orEmpty()
+    }
+
+    @Test
+    fun `the platform's file is read, unknown fields and all`() {
+        val settings = SettingsFiles.platform(file("later = 3\n" + Rehearsal.SAMPLE))
+        assertEquals("wardbox-0", settings.member)
+        assertEquals(listOf("team-0", "team-1"), settings.facts.teams.map { it.name })
+        assertEquals(48, settings.facts.state.txnOps)
+        assertEquals(listOf("wardbox-1"), settings.siblings.map { it.member })
+    }
+
+    @Test
+    fun `a missing field is named`() {
+        assertContains(refused(Rehearsal.SAMPLE.replace("lease_s = 16.0", "")), "lease_s")
+        assertContains(
+            refused(Rehearsal.SAMPLE.replace(Regex("member = .*wardbox-0.*"), "")),
+            "member",
+        )
+    }
+
+    @Test
+    fun `a wrong value is named`() {
+        val wrong =
+            mapOf(
+                "rps = 150.0" to "rps = -1.0",
+                "txn_ops = 48" to "txn_ops = 0",
+                "lease_s = 16.0" to "lease_s = 0.0",
+                "cpus_max = 96.0" to "cpus_max = -96.0",
+            )
+        for ((good, bad) in wrong) {
+            val field = good.substringBefore(' ')
+            assertContains(refused(Rehearsal.SAMPLE.replace(good, bad)), field)
+        }
+        assertContains(refused(Rehearsal.SAMPLE.replace(":18080", "")), "api_addr")
+        assertContains(refused(Rehearsal.SAMPLE.replace("txn_ops = 48", "txn_ops = \"x\"")), "x")
+    }
+
+    @Test
+    fun `an unreadable file is named`() {
+        val missing = File(dir, "none.toml")
+        val message = assertFailsWith<BadSettings> { SettingsFiles.platform(missing) }.message
+        assertContains(message.orEmpty(), "none.toml: cannot be read")
+    }
+
+    @Test
+    fun `operators' settings have defaults, ranges and no unknown fields`() {
+        assertEquals(OperatorSettings(), SettingsFiles.operators(null))
+        assertEquals(60.0, SettingsFiles.operators(file("half_life_s = 60.0")).halfLifeS)
+        val range = assertFailsWith<BadSettings> { SettingsFiles.operators(file("norm_s = 0.0")) }
+        assertContains(range.message.orEmpty(), "norm_s must be from 1.0")
+        val unknown = assertFailsWith<BadSettings> { SettingsFiles.operators(file("nrom_s = 5.0")) }
+        assertContains(unknown.message.orEmpty(), "nrom_s")
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/wardmux/dispatch/FairQueueTest.kt
@@ -0,0 +1,98 @@
+package wardmux.dispatch
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import wardmux.Micros
+import wardmux.secs
+
+class FairQueueTest {
+    private val second = Cost(1_000_000)
+
+    /** No memory: the usage that would halve a weight is out of reach. */
+    private fun plain(vararg teams: Pair<String, Double>) =
+        FairQueue(mapOf(*teams), 600.secs, normSeconds = 1e9)
+
+    private fun FairQueue.next(teams: List<String>, wall: Micros): String {
+        // Ties go to the heavier team, as in the paper's example.
+        val team = teams.minWith(compareBy({ startTag(it) }, { -weight(it, wall) }))
+        charge(team, second, wall)
+        return team
+    }
+
+    @Test
+    fun `the paper's worked example runs sixteen gold and two free jobs in eighteen`() {
+        val queue = plain("gold" to 8.0, "free" to 1.0)
+        val order = List(18) { queue.next(listOf("gold", "free"), Micros.ZERO) }
+        assertEquals(16, order.count { it == "gold" })
+        assertEquals(listOf(1, 10), order.indices.filter { order[it] == "free" })
+        assertEquals(2_000_000, queue.startTag("gold"))
+        assertEquals(2_000_000, queue.startTag("free"))
+    }
+
+    @Test
+    fun `usage halves in a half-life, in one step or in many`() {
+        val queue = FairQueue(mapOf("a" to 4.0), 100.secs, 10.0)
+        queue.charge("a", second, Micros.ZERO)
+        val other = FairQueue(mapOf("a" to 4.0), 100.secs, 10.0)
+        other.charge("a", second, Micros.ZERO)
+        for (t in 1..20) other.usage("a", (t * 5).secs)
+        assertEquals(500_000.0, queue.usage("a", 100.secs), 1e-6)
+        assertEquals(500_000.0, other.usage("a", 100.secs), 1e-3)
+    }
+
+    @Test
+    fun `usage of one norm halves the weight`() {
+        val queue = FairQueue(mapOf("a" to 4.0), 1_000_000.secs, normSeconds = 10.0)
+        assertEquals(4.0, queue.weight("a", Micros.ZERO), 1e-9)
+        queue.charge("a", Cost(40_000_000), Micros.ZERO)
+        assertEquals(2.0, queue.weight("a", Micros.ZERO), 1e-9)
+    }
+
+    @Test
+    fun `a finish is corrected by the weight at dispatch, not by the present one`() {
+        val queue = FairQueue(mapOf("a" to 4.0), 600.secs, normSeconds = 10.0)
+        val charge = queue.charge("a", Cost(40_000_000), Micros.ZERO)
+        assertEquals(10_000_000, queue.startTag("a"))
+        queue.correct("a", charge, Cost(80_000_000), Micros.ZERO)
+        assertEquals(20_000_000, queue.startTag("a"))
+    }
+
+    @Test
+    fun `the clock never goes back and an idle team starts at it`() {
+        val queue = plain("a" to 1.0, "b" to 1.0)
+        repeat(5) { queue.charge("a", second, Micros.ZERO) }
+        val before = queue.clock
+        val charge = queue.charge("a", second, Micros.ZERO)
+        queue.correct("a", charge, Cost(0), Micros.ZERO)
+        assertTrue(queue.clock >= before)
+        queue.idle()
+        assertEquals(5_000_000, queue.startTag("b"))
+        queue.charge("b", second, Micros.ZERO)
+        assertEquals(5_000_000, queue.clock)
+    }
+
+    @Test
+    fun `what is written is what a successor reads`() {
+        val queue = plain("a" to 2.0, "b" to 1.0)
+        queue.charge("a", second, Micros.ZERO)
+        queue.charge("b", Cost(7_000_000), Micros.ZERO)
+        val next = plain("a" to 2.0, "b" to 1.0)
+        next.load(queue.toJson(Micros.ZERO))
+        assertEquals(queue.clock, next.clock)
+        for (team in listOf("a", "b")) {
+            assertEquals(queue.startTag(team), next.startTag(team))
+            assertEquals(queue.usage(team, 9.secs), next.usage(team, 9.secs), 1e-6)
+        }
+    }
+
+    @Test
+    fun `a dispatch taken back leaves the tag as it was`() {
+        val queue = plain("a" to 3.0)
+        queue.charge("a", second, Micros.ZERO)
+        val before = queue.startTag("a")
+        val charge = queue.charge("a", Cost(9_000_000), Micros.ZERO)
+        queue.undo("a", charge, Micros.ZERO)
+        assertEquals(before, queue.startTag("a"))
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/wardmux/intake/SubmissionReaderTest.kt
@@ -0,0 +1,116 @@
+package wardmux.intake
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+
+val GOOD_FIELDS: Map<String, JsonElement> =
+    mapOf(
+        "name_id" to JsonPrimitive("job-000412"),
+        "jobclass" to JsonPrimitive("train"),
+        "owner" to JsonPrimitive("team-0"),
+        "shape" to JsonPrimitive("batch"),
+        "urgency" to JsonPrimitive("high"),
+        "pieces" to JsonPrimitive(16),
+        "cores" to JsonPrimitive(8.0),
+        "gpus" to JsonPrimitive(0.0),
+        "mem_gb" to JsonPrimitive(4.0),
+        "bundle" to JsonPrimitive("img-07"),
+        "pull_gb" to JsonPrimitive(6.2),
+        "boxkinds" to JsonNull,
+        "ward" to JsonNull,
+        "same_place" to JsonPrimitive(false),
+        "scatter" to JsonPrimitive(false),
+        "loaners" to JsonPrimitive(true),
+        "guess_s" to JsonPrimitive(240.0),
+        "savepoint_s" to JsonPrimitive(30.0),
+        "dump_s" to JsonPrimitive(4.0),
+        "due_s" to JsonPrimitive(900.0),
+    )
+
+fun submission(vararg changes: Pair<String, JsonElement?>): ByteArray {
+    val fields = GOOD_FIELDS.toMutableMap()
+    for ((name, value) in changes) if (value == null) fields.remove(name) else fields[name] = value
+    return JsonObject(fields).toString().encodeToByteArray()
+}
+
+class SubmissionReaderTest {
+    private fun malformed(body: ByteArray) =
+        assertIs<Submission.Malformed>(SubmissionReader.read(body), body.decodeToString())
+
+    @Test
+    fun `a good submission is read whole`() {
+        val good = assertIs<Submission.Good>(SubmissionReader.read(submission()))
+        assertEquals(16, good.spec.tasks)
+        assertEquals(Urgency.HIGH, good.spec.urgency)
+        assertNull(good.spec.types)
+        assertEquals(900.0, good.spec.deadlineS)
+    }
+
+    @Test
+    fun `nullable fields may be left out and unknown ones are ignored`() {
+        val body =
+            submission(
+                "boxkinds" to null,
+                "ward" to null,
+                "due_s" to null,
+                "new" to JsonPrimitive(1),
+            )
+        assertIs<Submission.Good>(SubmissionReader.read(body))
+    }
+
+    @Test
+    fun `each required field is required`() {
+        for (field in GOOD_FIELDS.keys - setOf("boxkinds", "ward", "due_s")) {
+            malformed(submission(field to null))
+            malformed(submission(field to JsonNull))
+        }
+    }
+
+    @Test
+    fun `values of a wrong type or range are malformed`() {
+        val wrong =
+            listOf(
+                "pieces" to JsonPrimitive(0),
+                "pieces" to JsonPrimitive(100_001),
+                "pieces" to JsonPrimitive(1.5),
+                "pieces" to JsonPrimitive("3"),
+                "cores" to JsonPrimitive(-1),
+                "cores" to JsonPrimitive("8"),
+                "mem_gb" to JsonPrimitive(true),
+                "guess_s" to JsonObject(emptyMap()),
+                "shape" to JsonPrimitive("ring"),
+                "urgency" to JsonPrimitive("HIGH"),
+                "same_place" to JsonPrimitive("true"),
+                "loaners" to JsonPrimitive(1),
+                "boxkinds" to JsonPrimitive("g8"),
+                "ward" to JsonPrimitive(4),
+                "owner" to JsonPrimitive(""),
+                "name_id" to JsonPrimitive("job-"),
+                "name_id" to JsonPrimitive("../leader"),
+                "due_s" to JsonPrimitive(-5),
+            )
+        for (change in wrong) malformed(submission(change))
+    }
+
+    @Test
+    fun `numbers that JSON does not have are malformed`() {
+        val text = submission().decodeToString()
+        for (number in listOf("NaN", "Infinity", "1e999", "0x10")) {
+            malformed(text.replace("\"mem_gb\":4.0", "\"mem_gb\":$number").encodeToByteArray())
+        }
+    }
+
+    @Test
+    fun `what is not an object is malformed without an id`() {
+        for (text in listOf("", "[]", "3", "{", "\"x\"", "null")) {
+            assertNull(malformed(text.encodeToByteArray()).id)
+        }
+        assertEquals("job-000412", malformed(submission("cores" to null)).id?.value)
+    }
+}
