--- a/src/main/kotlin/wardmux/dispatch/Cluster.kt
+++ b/src/main/kotlin/wardmux/dispatch/Cluster.kt
@@ -66,7 +66,7 @@
             )
         job.place(placement)
         restore(placement, machine)
-        machine.useImage(job.spec.image, job.spec.imageGb)
+        machine.useImage(job.spec.image, job.spec.imageGb, desk.now)
         tagsMoved = true
         return placement
     }
@@ -100,7 +100,12 @@
     }
 
     private fun unbook(placement: Placement) {
-        machines[placement.machine]?.remove(placement, desk.now)
+        val machine = machines[placement.machine]
+        machine?.remove(placement, desk.now)
+        val image = placement.job.spec.image
+        if (placement.runningSince == null && machine?.needs(image) == false) {
+            machine.fetchGivenUp(image, desk.now)
+        }
         book(placement.job.spec, -1)
     }
 
--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -3,6 +3,7 @@
 import wardmux.Desk
 import wardmux.JobId
 import wardmux.Micros
+import wardmux.app.ObjectiveFacts
 import wardmux.app.OperatorSettings
 import wardmux.app.WorkerFacts
 import wardmux.cloud.MachineType
@@ -27,6 +28,7 @@
     private val cluster: Cluster,
     private val operators: OperatorSettings,
     private val workers: WorkerFacts,
+    private val objectives: List<ObjectiveFacts>,
     private val types: () -> List<MachineType>,
 ) {
     private val log = logger<Planner>()
@@ -60,7 +62,13 @@
         full: MutableSet<JobId>,
         admits: (Job, Int) -> Boolean,
     ) {
-        val order = compareBy<Job>({ it.atFault }, { it.acceptedAt.value }, { it.id.value })
+        val order =
+            compareBy<Job>(
+                { it.atFault },
+                { lateness(it) },
+                { it.acceptedAt.value },
+                { it.id.value },
+            )
         val byTeam =
             jobs
                 .groupBy { it.spec.team }
@@ -78,6 +86,30 @@
         }
     }
 
+    /**
+     * How many of its class's deadlines the job can no longer meet, even with all that its team may
+     * use. When more is asked than can be done, what is late already stands behind what isn't.
+     */
+    private fun lateness(job: Job): Int {
+        val spec = job.spec
+        val due = spec.deadlineS ?: return 0
+        val team = cluster.teams[spec.team] ?: return 0
+        val left = spec.tasks - job.doneCount
+        val atOnce =
+            if (spec.cpus > 0) (team.cpusMax / spec.cpus).toInt().coerceAtLeast(1) else left
+        val run = cluster.estimates.runTime(spec).seconds
+        val needs = run * maxOf(1.0, left.toDouble() / atOnce)
+        val ends = (desk.wall - job.acceptedAt).seconds + needs
+        return deadlines(spec.jobClass).count { ends > due * it }
+    }
+
+    /** What a class's deadlines are multiplied by, as the users' aims have it. */
+    private fun deadlines(jobClass: String): List<Double> =
+        objectives
+            .filter { it.kind == "deadline" && it.jobClass == jobClass }
+            .map { it.times }
+            .ifEmpty { ONCE }
+
     private fun placeOne(
         job: Job,
         machines: List<Machine>,
@@ -150,9 +182,8 @@
 
     /** Seconds until the task could start, then how much room would be left over. */
     private fun score(spec: JobSpec, machine: Machine): Double {
-        val fetch =
-            if (machine.hasImage(spec.image)) 0.0 else spec.imageGb / machine.type.fetchGbPerS
-        return fetch * FETCH_WEIGHT + (machine.freeCpus - spec.cpus) / machine.type.cpus
+        val fetch = machine.imageWait(spec.image, spec.imageGb, desk.now)
+        return fetch.seconds * FETCH_WEIGHT + (machine.freeCpus - spec.cpus) / machine.type.cpus
     }
 
     /**
@@ -195,6 +226,7 @@
         var used = 0.0
         for (victim in victims) {
             if (used >= wanted) break
+            if (fetchesAlone(victim)) continue
             // Nearly done: its room comes by itself.
             if (remaining(victim) < SOON) continue
             stop(victim, "room for ${job.id}")
@@ -219,6 +251,15 @@
 
     private fun waited(job: Job): Micros = job.blockedSince?.let { desk.now - it } ?: Micros.ZERO
 
+    /** Stopping the last task that waits for an image throws the fetch away. */
+    private fun fetchesAlone(victim: Placement): Boolean {
+        if (victim.status != TaskStatus.FETCHING) return false
+        val machine = cluster.machines[victim.machine] ?: return false
+        return machine.placements.values.none {
+            it !== victim && !it.halting && it.job.spec.image == victim.job.spec.image
+        }
+    }
+
     private fun remaining(victim: Placement): Micros {
         val since = victim.runningSince ?: return cluster.estimates.runTime(victim.job.spec)
         return cluster.estimates.runTime(victim.job.spec) - (desk.now - since)
@@ -240,6 +281,7 @@
     }
 
     private companion object {
+        val ONCE = listOf(1.0)
         const val FETCH_WEIGHT = 0.5
         const val MOST_AT_ONCE = 64
         const val RESTART_S = 3.0
--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -147,7 +147,8 @@
             placement.runningSince = desk.now
         }
         placement.status = status
-        machine.useImage(placement.job.spec.image, placement.job.spec.imageGb)
+        val spec = placement.job.spec
+        if (status != TaskStatus.FETCHING) machine.imageReady(spec.image, spec.imageGb, desk.now)
         if (machine.recalledAt != null && !placement.halting && placement.job.spec.savable) {
             planner.stop(placement, "its machine is taken back")
         }
--- a/src/main/kotlin/wardmux/fleet/Machine.kt
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -5,6 +5,7 @@
 import wardmux.TaskId
 import wardmux.cloud.MachineType
 import wardmux.intake.JobSpec
+import wardmux.secs
 
 /** A machine as the leader knows it. */
 class Machine(
@@ -41,7 +42,7 @@
     /** Reported without a record: they take room until they are gone. */
     var strays = emptyList<JobSpec>()
 
-    private val images = LinkedHashMap<String, Double>()
+    private val images = LinkedHashMap<String, Image>()
     private var usedCpus = 0.0
     private var usedGpus = 0.0
     private var usedMemory = 0.0
@@ -94,19 +95,44 @@
         }
     }
 
-    fun hasImage(image: String) = image in images
+    /**
+     * How long until an image is there. Fetches share the machine's rate, so one that starts now is
+     * taken to come after those that are under way.
+     */
+    fun imageWait(image: String, gb: Double, now: Micros): Micros {
+        val readyAt = images[image]?.readyAt ?: return fetchEnd(now) - now + fetchTime(gb)
+        return maxOf(readyAt - now, Micros.ZERO)
+    }
 
     /** The most recently used images stay as long as the cache holds them. */
-    fun useImage(image: String, gb: Double) {
-        images.remove(image)
-        images[image] = gb
-        var total = images.values.sum()
+    fun useImage(image: String, gb: Double, now: Micros) {
+        val known = images.remove(image)
+        images[image] = known ?: Image(gb, fetchEnd(now) + fetchTime(gb))
+        var total = images.values.sumOf { it.gb }
         val oldest = images.entries.iterator()
         while (total > type.cacheGb && images.size > 1 && oldest.hasNext()) {
-            total -= oldest.next().value
+            total -= oldest.next().value.gb
             oldest.remove()
         }
     }
 
-    fun clearImages() = images.clear()
+    fun needs(image: String) = placements.values.any { it.job.spec.image == image }
+
+    /** A task with this image runs. */
+    fun imageReady(image: String, gb: Double, now: Micros) {
+        useImage(image, gb, now)
+        images[image]?.let { if (it.readyAt > now) it.readyAt = now }
+    }
+
+    /** No task waits for the image any more, so its fetch is given up. */
+    fun fetchGivenUp(image: String, now: Micros) {
+        images[image]?.let { if (it.readyAt > now) images.remove(image) }
+    }
+
+    private fun fetchEnd(now: Micros): Micros =
+        images.values.maxOfOrNull { it.readyAt }?.takeIf { it > now } ?: now
+
+    private fun fetchTime(gb: Double) = (gb / type.fetchGbPerS).secs
+
+    private class Image(val gb: Double, var readyAt: Micros)
 }
--- a/src/main/kotlin/wardmux/lead/Term.kt
+++ b/src/main/kotlin/wardmux/lead/Term.kt
@@ -54,7 +54,8 @@
             operators.normS,
         )
     private val cluster = Cluster(desk, facts.teams, queue)
-    private val planner = Planner(desk, cluster, operators, facts.workers) { types.types.orEmpty() }
+    private val planner =
+        Planner(desk, cluster, operators, facts.workers, facts.objectives) { types.types.orEmpty() }
     private val ledger = Ledger(desk, store, cluster, role, operators.writePeriodS.secs, this)
     private val fleet =
         Fleet(
@@ -278,7 +279,7 @@
             addJob(JobRecord.of(event.data), Stamp(event.stamp))
         } else if (removed != null) {
             val job = cluster.jobs[JobId(removed.removePrefix(JobRecord.OPEN_PREFIX))] ?: return
-            if (job.finished || job.over) return
+            if (job.finished || job.over || job.complete) return
             log.info("{} is cancelled; {} tasks are out", job.id, job.placements.size)
             job.over = true
         }
@@ -309,7 +310,16 @@
     }
 
     override fun finished(job: Job) {
-        log.info("{} is done", job.id)
+        val took = desk.wall - job.acceptedAt
+        log.info(
+            "{} is done: {} {} tasks for {} took {} s, due after {} s",
+            job.id,
+            job.spec.tasks,
+            job.spec.jobClass,
+            job.spec.team,
+            took.seconds.toInt(),
+            job.spec.deadlineS ?: "no",
+        )
         learnFinal(job.id, JobState.DONE)
     }
 
