--- a/src/main/kotlin/wardmux/Core.kt
+++ b/src/main/kotlin/wardmux/Core.kt
@@ -10,6 +10,9 @@
     data object Cloud : Target
 
     data class Sibling(val member: String) : Target
+
+    /** A machine's worker, by its address. */
+    data class Worker(val address: String) : Target
 }
 
 /** The listening side a call came in on. */
@@ -41,6 +44,9 @@
             get() = body.decodeToString()
     }
 
+    /** It never left this controller: no connection came about. */
+    data object Unsent : Outcome
+
     /** No response: it may have happened, or may still happen. */
     data object Unknown : Outcome
 }
--- a/src/main/kotlin/wardmux/app/Daemon.kt
+++ b/src/main/kotlin/wardmux/app/Daemon.kt
@@ -26,6 +26,11 @@
             feed(Input.Call(arrival.id, arrival.port, arrival.method, arrival.path, arrival.body))
         }
     private val clients = HashMap<Target, HttpClient>()
+    private val workers =
+        object : LinkedHashMap<String, HttpClient>(16, 0.75f, true) {
+            override fun removeEldestEntry(eldest: Map.Entry<String, HttpClient>) =
+                size > MAX_WORKER_CLIENTS
+        }
 
     init {
         fun client(target: Target, text: String, connections: Int) {
@@ -79,7 +84,7 @@
             is Effect.Answer ->
                 server.answer(effect.id, effect.status, effect.body, effect.retryAfterS)
             is Effect.Send ->
-                clients.getValue(effect.target).send(
+                clientFor(effect.target).send(
                     effect.method,
                     effect.path,
                     effect.body,
@@ -90,7 +95,20 @@
         }
     }
 
+    private fun clientFor(target: Target): HttpClient {
+        if (target !is Target.Worker) return clients.getValue(target)
+        return workers.getOrPut(target.address) {
+            val address = SettingsFiles.address(target.address) ?: NOWHERE
+            HttpClient(group, address, WORKER_CONNECTIONS, MAX_RESPONSE_BYTES, keep = false)
+        }
+    }
+
     private companion object {
+        const val MAX_WORKER_CLIENTS = 512
+        const val WORKER_CONNECTIONS = 1
+
+        /** Stands for an address that a worker reported and that is none: never connects. */
+        val NOWHERE = InetSocketAddress("0.0.0.0", 1)
         val TICK = 100.millis
         const val IDLE_SECONDS = 90L
         const val RESERVED_SOCKETS = 128
--- a/src/main/kotlin/wardmux/cloud/CloudClient.kt
+++ b/src/main/kotlin/wardmux/cloud/CloudClient.kt
@@ -112,6 +112,7 @@
     }
 
     private fun <T> interpret(outcome: Outcome, read: (String) -> T): CloudResult<T> {
+        if (outcome is Outcome.Unsent) return CloudResult.Refused(noCapacity = false)
         if (outcome !is Outcome.Response) return CloudResult.Unsure
         return when (outcome.status) {
             200 ->
--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -49,8 +49,7 @@
             }
         }
         for (job in ready) {
-            val blocked = job.waiting > 0 && cluster.headroom(job.spec) > 0
-            if (!blocked) job.blockedSince = null
+            if (job.waiting == 0) job.blockedSince = null
             else if (job.blockedSince == null) job.blockedSince = desk.now
         }
     }
@@ -136,6 +135,7 @@
         val quiet = (workers.reportS * operators.quietReports).secs
         return machine.confirmed &&
             !machine.condemned &&
+            !machine.directBroken &&
             machine.recalledAt == null &&
             desk.now - heardAt < quiet &&
             desk.now >= machine.pausedUntil
@@ -201,39 +201,49 @@
                     desk.now - since >= operators.preemptAfterS.secs
             }
         if (blocked.isEmpty()) return
-        var leaving =
-            cluster.machines.values.sumOf { m ->
-                m.placements.values.filter { it.halting }.sumOf { it.job.spec.cpus }
-            }
+        val leaving =
+            cluster.machines.values.flatMap { m -> m.placements.values.filter { it.halting } }
+        var room = leaving.sumOf { it.job.spec.cpus }
+        val cap = HashMap<String, Double>()
+        for (placement in leaving) cap.merge(
+            placement.job.spec.team,
+            placement.job.spec.cpus,
+            Double::plus,
+        )
         for (job in blocked.sortedWith(compareBy({ it.spec.urgency }, { it.acceptedAt.value }))) {
-            val tasks = minOf(job.waiting, cluster.headroom(job.spec), MOST_AT_ONCE)
-            var wanted = tasks * job.spec.cpus
-            val already = minOf(wanted, leaving)
-            wanted -= already
-            leaving -= already
-            if (wanted > 0) leaving += makeRoom(job, wanted)
+            val spec = job.spec
+            val wanted = minOf(job.waiting, MOST_AT_ONCE) * spec.cpus
+            // What its team's cap leaves, and what the team's own less urgent work takes of it.
+            val free = cluster.headroom(spec) * spec.cpus + (cap[spec.team] ?: 0.0)
+            var own = 0.0
+            if (wanted > free) own = makeRoom(job, wanted - free) { it.job.spec.team == spec.team }
+            cap[spec.team] = (cap[spec.team] ?: 0.0) + own - minOf(wanted, free + own)
+            val rest = minOf(wanted, free + own) - own
+            room += own
+            if (rest > room) room += makeRoom(job, rest - room) { true }
+            room -= minOf(room, minOf(wanted, free + own))
         }
     }
 
-    private fun makeRoom(job: Job, wanted: Double): Double {
+    /** Stops as much as is wanted, the cheapest first; gives the CPUs that come free. */
+    private fun makeRoom(job: Job, wanted: Double, among: (Placement) -> Boolean): Double {
         val victims =
             cluster.machines.values
                 .filter { usable(it) && allowed(job.spec, it) && it.type.holds(job.spec) }
                 .flatMap { it.placements.values }
-                .filter { it.committed && !it.halting && it.status != null && mayStop(job, it) }
+                .filter { it.committed && !it.halting && it.status != null && among(it) }
+                .filter { mayStop(job, it) }
                 .sortedBy { loss(it) }
         var freed = 0.0
-        var used = 0.0
         for (victim in victims) {
-            if (used >= wanted) break
+            if (freed >= wanted) break
             if (fetchesAlone(victim)) continue
             // Nearly done: its room comes by itself.
             if (remaining(victim) < SOON) continue
             stop(victim, "room for ${job.id}")
             freed += victim.job.spec.cpus
-            used += victim.job.spec.cpus
         }
-        return freed - wanted.coerceAtMost(freed)
+        return freed
     }
 
     private fun mayStop(job: Job, victim: Placement): Boolean {
@@ -277,6 +287,7 @@
         val spec = victim.job.spec
         val save = spec.savable && victim.status == TaskStatus.RUNNING
         victim.haltWithin = if (save) (spec.saveS + SAVE_MARGIN_S).secs else Micros.ZERO
+        victim.haltSent = false
         log.info("stopping {} on {}: {}", victim.task, victim.machine, why)
     }
 
--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -1,8 +1,11 @@
 package wardmux.fleet
 
+import kotlinx.serialization.SerializationException
 import wardmux.Desk
 import wardmux.MachineId
 import wardmux.Micros
+import wardmux.Outcome
+import wardmux.Target
 import wardmux.TaskId
 import wardmux.Token
 import wardmux.app.OperatorSettings
@@ -13,7 +16,6 @@
 import wardmux.dispatch.Planner
 import wardmux.lead.Leadership
 import wardmux.logger
-import wardmux.millis
 import wardmux.secs
 import wardmux.store.lenientJson
 
@@ -32,17 +34,10 @@
     private val sure: () -> Boolean,
     private val loaded: () -> Boolean,
     private val condemn: (Machine, String) -> Unit,
+    private val seen: (Token) -> Unit,
 ) {
-    private class Deferred(
-        val call: Long,
-        val report: Report,
-        val machine: Machine,
-        val until: Micros,
-    )
-
     private val log = logger<Fleet>()
     private val electedAt = desk.now
-    private val deferred = ArrayList<Deferred>()
 
     /** Machines whose deletion was confirmed; what they still send is late. */
     val gone = HashSet<MachineId>()
@@ -72,17 +67,20 @@
         // Not renewed: its lease is to end if its deletion takes long.
         if (machine.condemned) {
             if (isNewer(machine, report)) note(machine, report)
+            machine.heardAt = desk.now
             return desk.answer(call, 503)
         }
-        if (!isNewer(machine, report)) return answer(call, emptyList())
+        if (!isNewer(machine, report)) {
+            // Late, or overtaken by a direct order's answer; but it may renew the lease.
+            if (report.shift == machine.shift) machine.heardAt = desk.now
+            return answer(call, emptyList())
+        }
         note(machine, report)
+        machine.heardAt = desk.now
         if (!loaded()) return answer(call, emptyList())
-        val freed = reconcile(machine, report)
-        if (freed && cluster.jobs.values.any { it.waiting > 0 }) {
-            deferred.add(Deferred(call, report, machine, desk.now + DEFER))
-        } else {
-            answer(call, orders(machine, report))
-        }
+        reconcile(machine, report)
+        proveAbsent(machine, report)
+        answer(call, orders(machine, report))
     }
 
     private fun isNewer(machine: Machine, report: Report) =
@@ -96,10 +94,13 @@
             for (placement in machine.placements.values.toList()) {
                 if (placement.shift < report.shift) cluster.release(placement, "session over")
             }
+            // Direct orders name the session, so those of an earlier one are refused.
+            machine.loose.clear()
+            machine.directBroken = false
         }
+        machine.endpoint = report.endpoint
         machine.shift = report.shift
         machine.tick = report.tick
-        machine.heardAt = desk.now
         if (report.token == token.value) machine.confirmed = true
         if (report.recallS != null && machine.recalledAt == null) {
             machine.recalledAt = desk.now
@@ -107,22 +108,15 @@
         }
     }
 
-    /** Takes in what the report proves; true if room came free. */
-    private fun reconcile(machine: Machine, report: Report): Boolean {
-        var freed = !machine.confirmed
-        val seen = HashSet<TaskId>()
+    /** Takes in what the report shows. */
+    private fun reconcile(machine: Machine, report: Report) {
         val strays = ArrayList<wardmux.intake.JobSpec>()
         for (reported in report.tasks) {
             val task = TaskId.parse(reported.task) ?: continue
             val placement = machine.placements[task]?.takeIf { it.attempt == reported.attempt }
             if (placement != null) {
-                seen.add(task)
-                if (reported.status == TaskStatus.ENDED) {
-                    ended(machine, placement, reported)
-                    freed = true
-                } else {
-                    progressed(machine, placement, reported.status)
-                }
+                if (reported.status == TaskStatus.ENDED) ended(machine, placement, reported)
+                else progressed(machine, placement, reported.status)
             } else if (reported.status == TaskStatus.ENDED) {
                 endedUnplaced(task, reported)
             } else {
@@ -130,21 +124,30 @@
             }
         }
         cluster.setStrays(machine, strays)
+    }
+
+    /**
+     * Under this token only this leader gives orders, and in its answers one report at a time: what
+     * a later report lacks is not there, and no order for it is still under way. Only reports that
+     * the worker sends by itself prove that; the answer to a direct order may have overtaken the
+     * answer to a report.
+     */
+    private fun proveAbsent(machine: Machine, report: Report) {
+        if (report.token != token.value) return
+        val shown = report.tasks.mapTo(HashSet()) { it.task to it.attempt }
         for (placement in machine.placements.values.toList()) {
-            if (placement.task in seen || !placement.committed) continue
-            // Under this token only this leader gives orders, one report at a time: what such a
-            // report lacks is not there, and no order for it is still under way.
-            if (report.token == token.value && (placement.halting || placement.job.over)) {
-                cluster.release(placement, "not on the machine")
-                freed = true
-            }
+            val name = placement.task.toString() to placement.attempt
+            val leaving = placement.halting || placement.job.over
+            if (!leaving || !placement.committed || name in shown) continue
+            if (placement.task to placement.attempt in machine.loose) continue
+            cluster.release(placement, "not on the machine")
         }
-        return freed
     }
 
     private fun progressed(machine: Machine, placement: Placement, status: TaskStatus) {
         if (status == TaskStatus.RUNNING && placement.runningSince == null) {
             placement.runningSince = desk.now
+            log.debug("{} runs on {}", placement.task, machine.id)
         }
         placement.status = status
         val spec = placement.job.spec
@@ -206,7 +209,7 @@
             val task = TaskId.parse(reported.task) ?: continue
             val placement = machine.placements[task]?.takeIf { it.attempt == reported.attempt }
             if (reported.status == TaskStatus.ENDED) {
-                if (mayForget(task, reported)) {
+                if (mayForget(machine, task, reported)) {
                     orders.add(Order.forget(reported.task, reported.attempt))
                 }
             } else if (placement == null || placement.job.over) {
@@ -220,42 +223,106 @@
         val known = report.tasks.mapTo(HashSet()) { it.task to it.attempt }
         for (placement in machine.placements.values) {
             if (orders.size >= MAX_ORDERS) break
-            val startable =
-                placement.committed &&
-                    placement.shift == machine.shift &&
-                    !placement.halting &&
-                    !placement.job.over
-            if (startable && (placement.task.toString() to placement.attempt) !in known) {
-                orders.add(Order.start(placement))
-            }
+            if (!startable(machine, placement)) continue
+            if ((placement.task.toString() to placement.attempt) in known) continue
+            orders.add(Order.start(placement))
+            placement.startSent = true
         }
         return orders
     }
 
-    /** A completed task is recorded before the only other place that knows of it forgets. */
-    private fun mayForget(task: TaskId, reported: ReportedTask): Boolean {
-        val job = cluster.jobs[task.job] ?: return true
-        return reported.cause != "done" || job.over || job.isRecorded(task.index)
+    private fun startable(machine: Machine, placement: Placement) =
+        placement.committed &&
+            placement.shift == machine.shift &&
+            !placement.halting &&
+            !placement.job.over
+
+    /**
+     * Sends what is new to the machines themselves, rather than with the answer to their next
+     * report. A lost answer leaves the order's fate open: see [Machine.loose].
+     */
+    fun sendDirect() {
+        for (machine in cluster.machines.values) {
+            if (!machine.confirmed || machine.condemned || machine.endpoint.isEmpty()) continue
+            if (machine.directBusy || machine.directBroken || machine.empty) continue
+            val starts = ArrayList<Placement>()
+            val orders = ArrayList<Order>()
+            for (placement in machine.placements.values) {
+                val leaving = placement.halting || placement.job.over
+                if (leaving && placement.status != null && !placement.haltSent) {
+                    val within = if (placement.job.over) Micros.ZERO else placement.haltWithin
+                    val seconds = (within ?: Micros.ZERO).seconds
+                    val task = placement.task.toString()
+                    orders.add(Order.halt(task, placement.attempt, seconds))
+                    placement.haltSent = true
+                } else if (sure() && !placement.startSent && startable(machine, placement)) {
+                    starts.add(placement)
+                }
+            }
+            for (placement in starts.take(MAX_DIRECT)) {
+                placement.startSent = true
+                machine.loose.add(placement.task to placement.attempt)
+                orders.add(Order.start(placement))
+            }
+            if (orders.isNotEmpty()) direct(machine, orders, starts.take(MAX_DIRECT))
+        }
     }
 
-    /** Orders that waited for a write, for at most a fraction of a second, ride now. */
-    fun answerDeferred(all: Boolean) {
-        if (deferred.isEmpty()) return
-        val due = deferred.filter { all || desk.now >= it.until }
-        deferred.removeAll(due.toSet())
-        for (waiting in due) {
-            // A newer report has come: nobody listens to this answer any more.
-            val current =
-                waiting.report.tick == waiting.machine.tick &&
-                    waiting.report.shift == waiting.machine.shift
-            if (current && !waiting.machine.condemned) {
-                answer(waiting.call, orders(waiting.machine, waiting.report))
-            } else {
-                desk.answer(waiting.call, 503)
+    private fun direct(machine: Machine, orders: List<Order>, starts: List<Placement>) {
+        machine.directBusy = true
+        val shift = machine.shift
+        val body = DirectOrders(token.value, shift, orders)
+        val bytes = lenientJson.encodeToString(DirectOrders.serializer(), body).encodeToByteArray()
+        val target = Target.Worker(machine.endpoint)
+        desk.send(target, "POST", "/do", bytes, DIRECT_TIME) { outcome ->
+            machine.directBusy = false
+            when (outcome) {
+                is Outcome.Response -> {
+                    if (outcome.status != 200) for (placement in starts) placement.startSent = false
+                    settled(machine, shift, starts)
+                    if (outcome.status == 200 || outcome.status == 409) takeDirect(machine, outcome)
+                }
+                is Outcome.Unsent -> {
+                    for (placement in starts) placement.startSent = false
+                    settled(machine, shift, starts)
+                }
+                is Outcome.Unknown ->
+                    if (machine.shift == shift && starts.isNotEmpty()) {
+                        log.info("{} starts went unanswered by {}", starts.size, machine.id)
+                        machine.directBroken = true
+                    }
             }
         }
     }
 
+    private fun settled(machine: Machine, shift: Long, starts: List<Placement>) {
+        if (machine.shift != shift) return
+        for (placement in starts) machine.loose.remove(placement.task to placement.attempt)
+    }
+
+    private fun takeDirect(machine: Machine, response: Outcome.Response) {
+        val report =
+            try {
+                lenientJson.decodeFromString(Report.serializer(), response.text)
+            } catch (e: SerializationException) {
+                return
+            } catch (e: IllegalArgumentException) {
+                return
+            }
+        seen(Token(report.token))
+        if (cluster.machines[machine.id] !== machine) return
+        if (MachineId(report.machine) != machine.id || !isNewer(machine, report)) return
+        note(machine, report)
+        if (loaded()) reconcile(machine, report)
+    }
+
+    /** A completed task is recorded before the only other place that knows of it forgets. */
+    private fun mayForget(machine: Machine, task: TaskId, reported: ReportedTask): Boolean {
+        if (task to reported.attempt in machine.loose) return false
+        val job = cluster.jobs[task.job] ?: return true
+        return reported.cause != "done" || job.over || job.isRecorded(task.index)
+    }
+
     private fun answer(call: Long, orders: List<Order>) {
         val body = HelloAnswer(token.value, orders)
         desk.answer(call, 200, lenientJson.encodeToString(HelloAnswer.serializer(), body))
@@ -275,6 +342,8 @@
                 cluster.clear(machine, "lease over")
             }
             if (silence > lostAfter) silent.add(machine)
+            // Nothing new goes there, so that what went unanswered can do no harm.
+            else if (machine.directBroken && machine.empty) condemn(machine, "orders unanswered")
         }
         // Many at once: more likely the network than the machines. Their leases decide.
         val many = silent.size > maxOf(2, up.size / 3)
@@ -309,7 +378,8 @@
     }
 
     private companion object {
-        val DEFER = 250.millis
+        val DIRECT_TIME = 4.secs
+        const val MAX_DIRECT = 300
         val REFUSED_PAUSE = 1.secs
         val UNKNOWN_PAUSE = 3.secs
         val FAILED_PAUSE = 8.secs
--- a/src/main/kotlin/wardmux/fleet/Machine.kt
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -19,9 +19,25 @@
     var shift = 0L
     var tick = -1L
 
-    /** When its last report came that was newer than all before. */
+    /** When its last report came; its lease may run from then if that was answered. */
     var heardAt: Micros? = null
 
+    /** Where it takes direct orders. */
+    var endpoint = ""
+
+    /** A direct order is under way; one at a time. */
+    var directBusy = false
+
+    /** Direct orders went unanswered in this session, so they may be carried out at any time. */
+    var directBroken = false
+
+    /**
+     * Attempts whose direct start is under way or went unanswered. While that is so, their absence
+     * from a report proves nothing, and they are not forgotten: a start that is carried out after
+     * it would run the attempt once more.
+     */
+    val loose = HashSet<Pair<TaskId, Int>>()
+
     /** It has reported under this leader's token, so no earlier leader can order it about. */
     var confirmed = false
     var recalledAt: Micros? = null
--- a/src/main/kotlin/wardmux/fleet/Placement.kt
+++ b/src/main/kotlin/wardmux/fleet/Placement.kt
@@ -24,6 +24,12 @@
     var status: TaskStatus? = null
     var runningSince: Micros? = null
 
+    /** A start went out in this term; reports show whether it has to go out again. */
+    var startSent = false
+
+    /** The halt in force went out directly. */
+    var haltSent = false
+
     /** It is being stopped: how long it may take to save. */
     var haltWithin: Micros? = null
 
--- a/src/main/kotlin/wardmux/fleet/WorkerWire.kt
+++ b/src/main/kotlin/wardmux/fleet/WorkerWire.kt
@@ -63,4 +63,12 @@
 
 @Serializable data class HelloAnswer(@SerialName("baton") val token: Long, val orders: List<Order>)
 
+/** Orders sent to the worker itself, outside its reports. */
+@Serializable
+data class DirectOrders(
+    @SerialName("baton") val token: Long,
+    val shift: Long,
+    val orders: List<Order>,
+)
+
 @Serializable data class Redirect(@SerialName("steward") val leader: String)
--- a/src/main/kotlin/wardmux/http/HttpClient.kt
+++ b/src/main/kotlin/wardmux/http/HttpClient.kt
@@ -35,6 +35,8 @@
     private val address: InetSocketAddress,
     private val maxConnections: Int,
     private val maxResponseBytes: Int,
+    /** False: a connection of its own for each request, for addresses that are rarely asked. */
+    private val keep: Boolean = true,
 ) {
     private class Order(
         val method: String,
@@ -91,8 +93,9 @@
     }
 
     private fun expire(order: Order) {
-        order.channel?.close()
-        order.end(Outcome.Unknown)
+        val channel = order.channel
+        channel?.close()
+        order.end(if (channel == null) Outcome.Unsent else Outcome.Unknown)
     }
 
     private fun pump() {
@@ -120,10 +123,10 @@
                     when {
                         !future.isSuccess -> {
                             connections--
-                            order.end(Outcome.Unknown)
+                            order.end(Outcome.Unsent)
                             pump()
                         }
-                        order.over -> release(channel)
+                        order.over -> if (keep) release(channel) else channel.close()
                         else -> write(channel, order)
                     }
                 }
@@ -145,6 +148,7 @@
             request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, order.body.size)
         }
+        if (!keep) request.headers().set(HttpHeaderNames.CONNECTION, "close")
         channel.writeAndFlush(request)
     }
 
@@ -164,7 +168,8 @@
                 val ended = order
                 order = null
                 ended?.channel = null
-                if (HttpUtil.isKeepAlive(response)) release(context.channel()) else context.close()
+                if (keep && HttpUtil.isKeepAlive(response)) release(context.channel())
+                else context.close()
                 ended?.end(Outcome.Response(response.status().code(), body))
             } finally {
                 ReferenceCountUtil.release(message)
--- a/src/main/kotlin/wardmux/lead/Term.kt
+++ b/src/main/kotlin/wardmux/lead/Term.kt
@@ -69,6 +69,7 @@
             { leadership.sure },
             { loaded },
             ::condemn,
+            leadership::seen,
         )
     private val hiring =
         Hiring(
@@ -96,7 +97,6 @@
 
     fun end() {
         over = true
-        fleet.answerDeferred(all = true)
     }
 
     fun hello(call: Long, report: Report) {
@@ -107,7 +107,6 @@
     fun tick() {
         cluster.reference = types.types?.maxByOrNull { it.cpus }
         loadAt?.let { if (desk.now >= it && types.types != null) load() }
-        fleet.answerDeferred(all = false)
         if (!loaded) return
         watchAt?.let { if (desk.now >= it) watch() }
         fleet.watchSilence()
@@ -115,6 +114,7 @@
         if (leadership.sure && desk.now >= preemptAt) {
             preemptAt = desk.now + PREEMPT_PERIOD
             planner.preempt()
+            fleet.sendDirect()
         }
         sweep()
         cycle()
@@ -287,9 +287,7 @@
 
     // What the ledger tells.
 
-    override fun written() {
-        fleet.answerDeferred(all = true)
-    }
+    override fun written() = fleet.sendDirect()
 
     override fun fenced() = leadership.fenced()
 
@@ -297,7 +295,6 @@
         loaded = false
         reading++
         watchAt = null
-        fleet.answerDeferred(all = true)
         for (machine in cluster.machines.values) {
             cluster.setStrays(machine, emptyList())
             for (placement in machine.placements.values.toList()) machine.remove(
--- a/src/main/kotlin/wardmux/store/StateStore.kt
+++ b/src/main/kotlin/wardmux/store/StateStore.kt
@@ -268,6 +268,7 @@
 
     private fun <T> interpret(outcome: Outcome, read: (Int, String) -> Result<T>): Result<T> =
         when (outcome) {
+            is Outcome.Unsent -> Result.Refused
             is Outcome.Unknown -> Result.Unsure
             is Outcome.Response ->
                 try {
