--- a/src/main/kotlin/wardmux/cloud/Hiring.kt
+++ b/src/main/kotlin/wardmux/cloud/Hiring.kt
@@ -5,9 +5,10 @@
 import wardmux.Micros
 import wardmux.Token
 import wardmux.app.CloudFacts
+import wardmux.app.ObjectiveFacts
 import wardmux.app.OperatorSettings
 import wardmux.dispatch.Cluster
-import wardmux.dispatch.Planner
+import wardmux.dispatch.Job
 import wardmux.fleet.Fleet
 import wardmux.fleet.Machine
 import wardmux.logger
@@ -20,11 +21,11 @@
     private val types: TypeBook,
     private val cluster: Cluster,
     private val fleet: Fleet,
-    private val planner: Planner,
     private val operators: OperatorSettings,
     private val facts: CloudFacts,
     private val token: Token,
     private val zones: List<String>,
+    private val objectives: List<ObjectiveFacts>,
     private val condemn: (Machine, String) -> Unit,
 ) {
     /** One kind of thing that the cloud rents. */
@@ -118,26 +119,40 @@
 
     private fun decide() {
         val known = types.types ?: return
-        val backlog = backlog(known)
+        val soon = backlog(known, patient = false)
+        val patient = backlog(known, patient = true)
         for (type in known) {
             val own =
                 cluster.machines.values.filter { it.type.label == type.label && !it.condemned }
-            val inUse = own.sumOf { it.load }
-            val now = inUse * (1 + operators.spareShare) + (backlog[type.label] ?: 0.0)
-            val before = smoothed[type.label] ?: now
-            val wanted = maxOf(now, before + (now - before) * SMOOTHING)
-            smoothed[type.label] = wanted
+            val inUse = own.sumOf { it.load } * (1 + operators.spareShare)
+            val wanted = smooth(type.label, inUse + (soon[type.label] ?: 0.0))
+            val pressing = smooth(type.label + "!", inUse + (patient[type.label] ?: 0.0))
             val have =
                 own.count { it.recalledAt == null } +
                     hiring.values.filter { it.type == type.label }.sumOf { it.count }
             val missing = (wanted - have + ROUNDING).toInt()
-            if (missing > 0) hire(type, missing)
-            else if (have - wanted > 1) giveBack(own, have - wanted)
+            if (missing > 0 && !hire(type, missing, spot = true)) {
+                val dear = minOf(missing, (pressing - have + ROUNDING).toInt())
+                if (dear > 0) hire(type, dear, spot = false)
+            }
+            if (have - wanted >= SURPLUS) giveBack(own, have - wanted, spot = true)
+            if (have - pressing >= SURPLUS) giveBack(own, have - pressing, spot = false)
         }
     }
 
-    /** Machines that would work off what waits within the horizon, by type. */
-    private fun backlog(known: List<MachineType>): Map<String, Double> {
+    /** Rises at once and falls slowly: a machine given back too early is booted again. */
+    private fun smooth(name: String, now: Double): Double {
+        val before = smoothed[name] ?: now
+        val value = maxOf(now, before + (now - before) * SMOOTHING)
+        smoothed[name] = value
+        return value
+    }
+
+    /**
+     * Machines that would work off what waits, by type: within a boot time or so, or, if [patient],
+     * within what the users' aims leave. The dear machines are for what can't wait.
+     */
+    private fun backlog(known: List<MachineType>, patient: Boolean): Map<String, Double> {
         val machines = HashMap<String, Double>()
         val room = HashMap<String, Double>()
         for (job in cluster.jobs.values) {
@@ -147,51 +162,63 @@
                 room.getOrPut(spec.team) {
                     (cluster.teams[spec.team]?.cpusMax ?: 0.0) - cluster.usedCpus(spec.team)
                 }
-            val tasks =
-                if (spec.cpus > 0) minOf(job.waiting.toDouble(), left / spec.cpus)
-                else job.waiting.toDouble()
+            val all = job.waiting.toDouble()
+            val tasks = if (spec.cpus > 0) minOf(all, left / spec.cpus) else all
             if (tasks <= 0) continue
             room[spec.team] = left - tasks * spec.cpus
             val type = known.filter { it.allowedFor(spec) }.minByOrNull { it.cpus } ?: continue
             val run = cluster.estimates.runTime(spec).seconds.coerceAtLeast(1.0)
-            val horizon = type.bootS * HORIZON_BOOTS
+            var horizon = type.bootS * HORIZON_BOOTS
+            if (patient) horizon = maxOf(horizon, slack(job, run) * SLACK_PART)
             val part = tasks / type.fitting(spec).coerceAtLeast(1) * minOf(1.0, run / horizon)
             machines.merge(type.label, part, Double::plus)
         }
         return machines
     }
 
-    /**
-     * Spot machines first, spread over the zones; ordinary ones where no spot machine is to be had.
-     */
-    private fun hire(type: MachineType, missing: Int) {
-        if (hiring.size >= MOST_HIRES) return
-        for (spot in listOf(true, false)) {
-            val kinds =
-                type.zones
-                    .filter { it in zones }
-                    .map { Kind(type.label, it, spot) }
-                    .filter { desk.now >= (refusedUntil[it] ?: Micros.LONG_AGO) }
-                    .sortedBy { kind ->
-                        cluster.machines.values.count {
-                            it.zone == kind.zone && it.type.label == type.label && it.spot == spot
-                        }
+    /** Seconds that the job can still wait before it misses what its users expect of its class. */
+    private fun slack(job: Job, run: Double): Double {
+        val spec = job.spec
+        val age = (desk.wall - job.acceptedAt).seconds
+        val limits =
+            objectives
+                .filter { it.jobClass == spec.jobClass }
+                .mapNotNull {
+                    when (it.kind) {
+                        "wait" -> it.withinS
+                        "finished" -> it.withinS - run
+                        else -> null
                     }
-            if (kinds.isEmpty()) continue
-            val share = (missing + kinds.size - 1) / kinds.size
-            var left = missing
-            for (kind in kinds) {
-                val count = minOf(share, left, MOST_AT_ONCE)
-                if (count <= 0 || !cloud.ready()) break
-                left -= count
-                // Never used again, by this controller or another: a token is one leader's alone.
-                val name = "w${token.value}-${++counter}"
-                val order = HireOrder(name, kind.type, kind.zone, kind.spot, count)
-                hiring[name] = order
-                ask(order)
-            }
-            return
+                } + listOfNotNull(spec.deadlineS?.let { it - run })
+        return (limits.minOrNull() ?: 0.0) - age
+    }
+
+    /** Spread over the zones; false if no such machine is to be had for now. */
+    private fun hire(type: MachineType, missing: Int, spot: Boolean): Boolean {
+        val kinds =
+            type.zones
+                .filter { it in zones }
+                .map { Kind(type.label, it, spot) }
+                .filter { desk.now >= (refusedUntil[it] ?: Micros.LONG_AGO) }
+                .sortedBy { kind ->
+                    cluster.machines.values.count {
+                        it.zone == kind.zone && it.type.label == type.label && it.spot == spot
+                    }
+                }
+        if (kinds.isEmpty()) return false
+        val share = (missing + kinds.size - 1) / kinds.size
+        var left = missing
+        for (kind in kinds) {
+            val count = minOf(share, left, MOST_AT_ONCE)
+            if (count <= 0 || !cloud.ready() || hiring.size >= MOST_HIRES) break
+            left -= count
+            // Never used again, by this controller or another: a token is one leader's alone.
+            val name = "w${token.value}-${++counter}"
+            val order = HireOrder(name, kind.type, kind.zone, kind.spot, count)
+            hiring[name] = order
+            ask(order)
         }
+        return true
     }
 
     private fun ask(order: HireOrder) {
@@ -221,12 +248,13 @@
         decideAt = desk.now
     }
 
-    private fun giveBack(own: List<Machine>, surplus: Double) {
-        var left = surplus.toInt()
-        val idle =
-            own.filter { it.up && it.empty && desk.now - it.idleSince > operators.idleKeepS.secs }
-                .sortedBy { it.spot }
-        for (machine in idle) {
+    private fun giveBack(own: List<Machine>, surplus: Double, spot: Boolean) {
+        var left = (surplus + 1 - SURPLUS).toInt()
+        for (machine in own.filter { it.up && it.empty && !it.condemned && it.spot == spot }) {
+            // A dear machine is kept for as much shorter as it costs more.
+            val dearness = if (spot) 1.0 else machine.type.spotPrice / machine.type.price
+            val keep = (operators.idleKeepS * dearness).secs
+            if (desk.now - machine.idleSince <= keep) continue
             if (left-- <= 0) return
             condemn(machine, "idle")
         }
@@ -242,6 +270,8 @@
         const val BOOT_PATIENCE = 3.0
         const val HORIZON_BOOTS = 0.8
         const val SMOOTHING = 0.03
+        const val SLACK_PART = 0.6
+        const val SURPLUS = 0.9
         const val ROUNDING = 0.4
     }
 }
--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -240,6 +240,8 @@
             if (fetchesAlone(victim)) continue
             // Nearly done: its room comes by itself.
             if (remaining(victim) < SOON) continue
+            // Much larger than what is needed: it would destroy more than it pays for.
+            if (victim.job.spec.cpus > (wanted - freed) * MOST_WASTE) continue
             stop(victim, "room for ${job.id}")
             freed += victim.job.spec.cpus
         }
@@ -295,6 +297,7 @@
         val ONCE = listOf(1.0)
         const val FETCH_WEIGHT = 0.5
         const val MOST_AT_ONCE = 64
+        const val MOST_WASTE = 2.0
         const val RESTART_S = 3.0
         const val SAVE_MARGIN_S = 1.0
         val SOON = 3.secs
--- a/src/main/kotlin/wardmux/lead/Term.kt
+++ b/src/main/kotlin/wardmux/lead/Term.kt
@@ -78,11 +78,11 @@
             types,
             cluster,
             fleet,
-            planner,
             operators,
             facts.cloud,
             role.token,
             facts.zones,
+            facts.objectives,
             ::condemn,
         )
     private var loaded = false
