--- /dev/null
+++ b/src/test/kotlin/wardmux/sim/Clockwork.kt
@@ -0,0 +1,78 @@
+package wardmux.sim
+
+import java.util.PriorityQueue
+import kotlin.random.Random
+import wardmux.Micros
+import wardmux.millis
+
+/** Simulated time: what is due is done in order, and all chance comes from one seed. */
+class Clockwork(seed: Long) {
+    private class Due(val at: Micros, val order: Long, val action: () -> Unit)
+
+    val random = Random(seed)
+    var now = Micros.ZERO
+        private set
+
+    private var order = 0L
+    private val queue = PriorityQueue(compareBy<Due>({ it.at.value }, { it.order }))
+
+    fun after(delay: Micros, action: () -> Unit) {
+        queue.add(Due(now + delay, order++, action))
+    }
+
+    fun every(period: Micros, action: () -> Unit) {
+        after(period) {
+            action()
+            every(period, action)
+        }
+    }
+
+    fun run(until: Micros, afterEach: () -> Unit) {
+        while (queue.isNotEmpty() && queue.peek().at <= until) {
+            val due = queue.poll()
+            now = due.at
+            due.action()
+            afterEach()
+        }
+        now = until
+    }
+
+    fun between(low: Micros, high: Micros): Micros =
+        Micros(random.nextLong(low.value, high.value + 1))
+
+    fun chance(probability: Double) = random.nextDouble() < probability
+}
+
+/** What may happen to a message on its way. */
+class Network(private val clock: Clockwork) {
+    /** Part of the messages that are lost. */
+    var loss = 0.0
+
+    /** Part of the requests that are carried out long after the asker has given up. */
+    var late = 0.0
+
+    /** Names of hosts that nobody reaches; what is sent to them is held until they are back. */
+    private val cut = HashSet<String>()
+    private val held = HashMap<String, MutableList<() -> Unit>>()
+
+    fun cut(host: String) {
+        cut.add(host)
+    }
+
+    fun mend(host: String) {
+        cut.remove(host)
+        held.remove(host)?.forEach { clock.after(delay(), it) }
+    }
+
+    fun delay(): Micros = clock.between(1.millis, 8.millis)
+
+    fun send(from: String, to: String, action: () -> Unit) {
+        when {
+            from in cut -> held.getOrPut(from) { ArrayList() }.add(action)
+            to in cut -> held.getOrPut(to) { ArrayList() }.add(action)
+            clock.chance(loss) -> Unit
+            clock.chance(late) -> clock.after(clock.between(2_000.millis, 40_000.millis), action)
+            else -> clock.after(delay(), action)
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/wardmux/sim/RandomDaysTest.kt
@@ -0,0 +1,131 @@
+package wardmux.sim
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import wardmux.Micros
+import wardmux.millis
+import wardmux.secs
+
+/** Seeded days with troubles of every kind, alone and together; the rules hold after each step. */
+class RandomDaysTest {
+    private class Day(seed: Long) {
+        val world = World(seed)
+        private val clock = world.clock
+        val jobs = ArrayList<String>()
+
+        private fun someWorkers(most: Int) =
+            world.cloud.workers().shuffled(clock.random).take(1 + clock.random.nextInt(most))
+
+        private fun someNode() = world.nodes[clock.random.nextInt(world.nodes.size)]
+
+        private fun members(): List<String> = world.nodes.shuffled(clock.random)
+
+        private val troubles: List<() -> Unit> =
+            listOf(
+                { world.crash(someNode(), clock.between(100.millis, 8.secs)) },
+                { world.leader()?.let { world.crash(it, clock.between(200.millis, 3.secs)) } },
+                { for (node in world.nodes) world.crash(node, clock.between(1.secs, 8.secs)) },
+                {
+                    for ((i, node) in members().withIndex()) {
+                        clock.after((i * 7).secs) { world.crash(node, 3.secs) }
+                    }
+                },
+                { outage(null, clock.between(1.secs, 25.secs)) },
+                { outage(someNode(), clock.between(1.secs, 40.secs)) },
+                { world.leader()?.let { outage(it, clock.between(4.secs, 40.secs)) } },
+                {
+                    world.cloud.down = true
+                    clock.after(20.secs) { world.cloud.down = false }
+                },
+                { someWorkers(2).forEach { world.cloud.kill(it) } },
+                { someWorkers(4).filter { it.spot }.forEach { world.cloud.takeBack(it) } },
+                {
+                    for (worker in someWorkers(3).filter { it.spot }) {
+                        worker.recallS = 10.0
+                        clock.after(10.secs) { world.cloud.takeBack(worker) }
+                    }
+                },
+                {
+                    for (worker in someWorkers(2)) {
+                        worker.hanging = true
+                        // Some go on just inside their lease, some just outside it.
+                        clock.after(clock.between(2.secs, 30.secs)) { worker.hanging = false }
+                    }
+                },
+                { for (worker in someWorkers(2)) cut(worker.id, clock.between(3.secs, 50.secs)) },
+                { cut(someNode(), clock.between(2.secs, 30.secs)) },
+                { someWorkers(1).forEach { it.sick = true } },
+                {
+                    world.network.late = 0.05
+                    clock.after(30.secs) { world.network.late = 0.0 }
+                },
+                {
+                    world.network.loss = 0.1
+                    clock.after(20.secs) { world.network.loss = 0.0 }
+                },
+                { repeat(6) { submit() } },
+            )
+
+        private fun outage(member: String?, length: Micros) {
+            world.state.outage(member)
+            clock.after(length) { world.state.back(member) }
+        }
+
+        private fun cut(host: String, length: Micros) {
+            world.network.cut(host)
+            clock.after(length) { world.network.mend(host) }
+        }
+
+        private fun submit() {
+            val spec = world.randomJob()
+            jobs.add(spec.id)
+            world.submit(spec)
+            val daemon = spec.estimateS == 0.0
+            if (daemon || clock.chance(0.15)) {
+                clock.after(clock.between(1.secs, 60.secs)) { world.cancel(spec.id) }
+            }
+        }
+
+        fun play(troubled: Boolean) {
+            world.cloud.stillborn = if (troubled) 0.1 else 0.0
+            world.poll("job-999999")
+            for (at in 2..150 step 7) clock.after(at.secs) { submit() }
+            if (troubled) {
+                for (at in 10..170 step 9) {
+                    clock.after(at.secs) { troubles[clock.random.nextInt(troubles.size)]() }
+                }
+            }
+            world.run(320.secs)
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        longs =
+            [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24]
+    )
+    fun `no rule is broken whatever fails`(seed: Long) {
+        val day = Day(seed)
+        day.play(troubled = true)
+        assertEquals(emptyList(), day.world.problems())
+        assertTrue(day.world.rules.starts > 0, "nothing ran")
+    }
+
+    @Test
+    fun `on a quiet day every job comes to its end`() {
+        val day = Day(100)
+        day.play(troubled = false)
+        assertEquals(emptyList(), day.world.problems())
+        val open = day.jobs.filter { day.world.rules.finalOf(it) == null }
+        assertEquals(emptyList(), open)
+    }
+
+    companion object {
+        /** More for a longer search: `-Dwardmux.days=500`. */
+        @JvmStatic
+        fun seeds(): List<Long> =
+            (1L..(System.getProperty("wardmux.days")?.toLong() ?: 24L)).toList()
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/wardmux/sim/Rules.kt
@@ -0,0 +1,125 @@
+package wardmux.sim
+
+import kotlin.math.abs
+import wardmux.Micros
+import wardmux.app.TeamFacts
+import wardmux.intake.JobSpec
+import wardmux.secs
+
+/** The rules at the end of PROTOCOL, as they look from outside the controllers. */
+class Rules(teams: List<TeamFacts>, private val cancelTime: Micros) {
+    private class On(val machine: String, val zone: String)
+
+    private class Told(var final: String? = null, var accepted: Boolean = false)
+
+    private val teams = teams.associateBy { it.name }
+    private val specs = HashMap<String, JobSpec>()
+    private val on = HashMap<String, HashMap<Int, On>>()
+    private val completed = HashMap<String, HashSet<Int>>()
+    private val told = HashMap<String, Told>()
+    private val toldCancelledAt = HashMap<String, Micros>()
+    private val askedToCancel = HashSet<String>()
+    val broken = ArrayList<String>()
+    var starts = 0
+        private set
+
+    fun submitted(spec: JobSpec) {
+        specs[spec.id] = spec
+    }
+
+    fun askedToCancel(job: String) {
+        askedToCancel.add(job)
+    }
+
+    private fun breaks(rule: String, what: String) {
+        broken.add("$rule: $what")
+    }
+
+    /** A task has its image and is on its machine from now. */
+    fun started(
+        now: Micros,
+        job: String,
+        task: Int,
+        machine: String,
+        type: String,
+        zone: String,
+        spot: Boolean,
+    ) {
+        starts++
+        val spec =
+            specs[job] ?: return breaks("invented", "$job/$task runs and nobody submitted it")
+        val own = on.getOrPut(job) { HashMap() }
+        own[task]?.let { breaks("ran_twice", "$job/$task on ${it.machine} and $machine") }
+        if (spec.types != null && type !in spec.types) breaks("wrong_place", "$job on $type")
+        if (spec.zone != null && zone != spec.zone) breaks("wrong_place", "$job in $zone")
+        if (spot && !spec.spot) breaks("wrong_place", "$job on a spot machine")
+        if (spec.oneZone && own.values.any { it.zone != zone }) {
+            breaks("wrong_place", "$job in two zones")
+        }
+        if (spec.spread && own.values.count { it.zone == zone } >= spec.zoneLimit) {
+            breaks("wrong_place", "too much of $job in $zone")
+        }
+        val cancelled = toldCancelledAt[job]
+        if (cancelled != null && now - cancelled > cancelTime)
+            breaks("ran_cancelled", "$job starts")
+        own[task] = On(machine, zone)
+        checkQuota(spec.team)
+    }
+
+    private fun checkQuota(team: String) {
+        val used =
+            on.entries.sumOf { (job, tasks) ->
+                val spec = specs.getValue(job)
+                if (spec.team == team) spec.cpus * tasks.size else 0.0
+            }
+        val limit = teams[team]?.cpusMax ?: 0.0
+        if (used > limit && abs(used - limit) > 1e-6) breaks("quota", "$team uses $used of $limit")
+    }
+
+    fun ended(job: String, task: Int, machine: String, done: Boolean) {
+        if (done) completed.getOrPut(job) { HashSet() }.add(task)
+        val own = on[job] ?: return
+        if (own[task]?.machine == machine) own.remove(task)
+    }
+
+    /** Between events: what has been on a machine for too long. */
+    fun check(now: Micros) {
+        for ((job, at) in toldCancelledAt) {
+            if (now - at > cancelTime && on[job]?.isNotEmpty() == true) {
+                breaks("ran_cancelled", "$job is still on a machine")
+            }
+        }
+    }
+
+    /** A user got an answer about a job. */
+    fun told(now: Micros, job: String, call: String, status: Int, state: String?) {
+        val known = told.getOrPut(job) { Told() }
+        if (status == 200 || status == 201) {
+            if (job !in specs) return breaks("invented", "$call of $job is answered $status")
+            known.accepted = true
+        }
+        if (known.accepted && (status == 400 || status == 404 || status == 422)) {
+            breaks("forgotten", "$call of $job is answered $status")
+        }
+        if (status != 200 && status != 201) return
+        val before = known.final
+        if (before != null && state != before)
+            breaks("went_back", "$job was $before, now is $state")
+        if (state == "cancelled" || state == "done") known.final = state
+        if (state == "cancelled") {
+            if (job !in askedToCancel) breaks("went_back", "$job is cancelled by nobody")
+            toldCancelledAt.putIfAbsent(job, now)
+        }
+        val tasks = specs.getValue(job).tasks
+        if (state == "done" && (completed[job]?.size ?: 0) < tasks) breaks("not_done", job)
+    }
+
+    fun allDone(job: String): Boolean = (completed[job]?.size ?: 0) == specs.getValue(job).tasks
+
+    fun finalOf(job: String): String? = told[job]?.final
+
+    companion object {
+        /** Tasks may go on for as long as PROTOCOL gives them after a cancellation. */
+        val SLACK = 1.secs
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/wardmux/sim/StateStandIn.kt
@@ -0,0 +1,239 @@
+package wardmux.sim
+
+import java.util.TreeMap
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.int
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import wardmux.Micros
+import wardmux.app.StateFacts
+import wardmux.millis
+
+/** The state service, written from PROTOCOL. */
+class StateStandIn(private val clock: Clockwork, private val facts: StateFacts) {
+    private class Entry(val data: JsonElement, val stamp: Long, val lease: Long?)
+
+    private class Lease(val life: Micros, var until: Micros)
+
+    private class Change(val revision: Long, val key: String, val data: JsonElement?)
+
+    private class Watch(val prefix: String, val from: Long, val answer: (Int, String) -> Unit) {
+        var open = true
+    }
+
+    private val keys = TreeMap<String, Entry>()
+    private val leases = HashMap<Long, Lease>()
+    private val changes = ArrayList<Change>()
+    private val watches = ArrayList<Watch>()
+    private var revision = 0L
+    private var lastLease = 0L
+
+    /** Members that get 503; null stands for all. */
+    private val refused = HashSet<String?>()
+    val problems = ArrayList<String>()
+
+    init {
+        clock.every(50.millis) { expire() }
+    }
+
+    fun outage(member: String?) {
+        refused.add(member)
+    }
+
+    fun back(member: String?) {
+        refused.remove(member)
+        // After an outage all leases have their full time again.
+        if (member == null) for (lease in leases.values) lease.until = clock.now + lease.life
+    }
+
+    fun value(key: String): JsonElement? = keys[key]?.data
+
+    private fun expire() {
+        if (null in refused) return
+        val over = leases.filterValues { it.until < clock.now }.keys
+        for (id in over) endLease(id)
+    }
+
+    private fun endLease(id: Long) {
+        leases.remove(id) ?: return
+        val gone = keys.filterValues { it.lease == id }.keys.toList()
+        if (gone.isEmpty()) return
+        revision++
+        for (key in gone) remove(key)
+        wake()
+    }
+
+    private fun remove(key: String) {
+        if (keys.remove(key) != null) changes.add(Change(revision, key, null))
+    }
+
+    fun handle(
+        from: String,
+        method: String,
+        path: String,
+        body: String,
+        answer: (Int, String) -> Unit,
+    ) {
+        if (null in refused || from in refused) return answer(503, "{}")
+        val route = path.substringBefore('?')
+        val query =
+            path
+                .substringAfter('?', "")
+                .split('&')
+                .filter { '=' in it }
+                .associate { it.substringBefore('=') to it.substringAfter('=') }
+        when {
+            route == "/keys" -> page(query, answer)
+            route.startsWith("/keys/") -> get(route.removePrefix("/keys/"), answer)
+            route == "/multi" -> multi(Json.parseToJsonElement(body).jsonObject, answer)
+            route == "/watch" -> watch(query, answer)
+            route == "/leases" -> {
+                val life =
+                    Json.parseToJsonElement(body).jsonObject.getValue("life_ms").jsonPrimitive.int
+                leases[++lastLease] = Lease(life.millis, clock.now + life.millis)
+                answer(200, """{"permit":$lastLease}""")
+            }
+            route.endsWith("/renew") -> {
+                val lease = leases[route.split('/')[2].toLong()]
+                lease?.let { it.until = clock.now + it.life }
+                answer(if (lease == null) 404 else 200, "{}")
+            }
+            method == "DELETE" -> {
+                endLease(route.split('/')[2].toLong())
+                answer(200, "{}")
+            }
+            else -> problems.add("unknown call $method $path")
+        }
+    }
+
+    private fun get(key: String, answer: (Int, String) -> Unit) {
+        val entry = keys[key] ?: return answer(404, """{"epoch":$revision}""")
+        answer(200, item(key, entry).toString())
+    }
+
+    private fun item(key: String, entry: Entry) = buildJsonObject {
+        put("k", key)
+        put("data", entry.data)
+        put("stamp", entry.stamp)
+        if (entry.lease != null) put("permit", entry.lease)
+    }
+
+    private fun page(query: Map<String, String>, answer: (Int, String) -> Unit) {
+        val prefix = query.getValue("under")
+        val from = query["from"] ?: ""
+        // Small pages, so that reading on is tried too.
+        val limit = minOf(query["limit"]?.toInt() ?: 1000, 5)
+        val found =
+            keys.tailMap(prefix).entries.filter { it.key.startsWith(prefix) && it.key > from }
+        val body = buildJsonObject {
+            putJsonArray("items") { for (e in found.take(limit)) add(item(e.key, e.value)) }
+            put("truncated", found.size > limit)
+            put("epoch", revision)
+        }
+        answer(200, body.toString())
+    }
+
+    private fun multi(json: JsonObject, answer: (Int, String) -> Unit) {
+        val conditions = json["if"]?.jsonArray ?: JsonArray(emptyList())
+        val then = json["then"]?.jsonArray ?: JsonArray(emptyList())
+        if (then.size > facts.txnOps) problems.add("${then.size} changes in a transaction")
+        if (conditions.size > facts.txnOps * 4) problems.add("${conditions.size} conditions")
+        if (json.toString().length > 65_536)
+            problems.add("a transaction of ${json.toString().length}")
+        val failed =
+            conditions
+                .map { it.jsonObject }
+                .filter {
+                    (keys[it.text("k")]?.stamp ?: 0) != it.getValue("stamp").jsonPrimitive.long
+                }
+                .map { it.text("k") }
+        val puts = then.map { it.jsonObject }.filter { "put" in it }
+        if (puts.any { p -> p["permit"]?.let { it.jsonPrimitive.long !in leases } == true }) {
+            return answer(400, """{"error":"no such lease"}""")
+        }
+        if (failed.isNotEmpty()) {
+            val body = buildJsonObject {
+                putJsonArray("failed") { for (key in failed) add(key) }
+                put("epoch", revision)
+            }
+            return answer(409, body.toString())
+        }
+        if (then.isNotEmpty()) revision++
+        for (change in then.map { it.jsonObject }) {
+            val key = (change["put"] ?: change.getValue("remove")).jsonPrimitive.content
+            if ("put" in change) {
+                val data = change.getValue("data")
+                if (data.toString().length > maxValue) problems.add("$key holds too much")
+                keys[key] = Entry(data, revision, change["permit"]?.jsonPrimitive?.long)
+                changes.add(Change(revision, key, data))
+            } else {
+                remove(key)
+            }
+        }
+        answer(200, """{"epoch":$revision}""")
+        wake()
+    }
+
+    private val maxValue = (facts.valueKb * 1024).toInt()
+
+    private fun JsonObject.text(name: String) = getValue(name).jsonPrimitive.content
+
+    private fun watch(query: Map<String, String>, answer: (Int, String) -> Unit) {
+        val from = query.getValue("from").toLong()
+        // Few changes are kept, so that 410 is tried too.
+        if (changes.size > KEPT && changes[changes.size - KEPT].revision > from) {
+            return answer(410, "{}")
+        }
+        val watch = Watch(query.getValue("under"), from, answer)
+        watches.add(watch)
+        val block = query["block_ms"]?.toInt() ?: 0
+        clock.after(block.millis) { close(watch) }
+        wake()
+    }
+
+    private fun close(watch: Watch) {
+        if (!watch.open || null in refused) return
+        watch.open = false
+        watches.remove(watch)
+        watch.answer(200, """{"epoch":$revision,"events":[]}""")
+    }
+
+    private fun wake() {
+        for (watch in watches.toList()) {
+            val news =
+                changes.filter { it.revision > watch.from && it.key.startsWith(watch.prefix) }
+            if (news.isEmpty()) continue
+            watch.open = false
+            watches.remove(watch)
+            val body = buildJsonObject {
+                put("epoch", revision)
+                putJsonArray("events") {
+                    for (change in news) addJsonObject {
+                        if (change.data == null) put("remove", change.key)
+                        else {
+                            put("put", JsonPrimitive(change.key))
+                            put("data", change.data)
+                        }
+                        put("stamp", change.revision)
+                    }
+                }
+            }
+            watch.answer(200, body.toString())
+        }
+    }
+
+    private companion object {
+        const val KEPT = 400
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/wardmux/sim/WorkerStandIn.kt
@@ -0,0 +1,271 @@
+package wardmux.sim
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.double
+import kotlinx.serialization.json.int
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import wardmux.Micros
+import wardmux.app.WorkerFacts
+import wardmux.intake.JobSpec
+import wardmux.millis
+import wardmux.secs
+
+/** How a worker reaches a controller: status and body, or null for no response. */
+typealias Report = (node: String, body: String, answer: (Int, String) -> Unit) -> Unit
+
+/** A worker, written from PROTOCOL. */
+class WorkerStandIn(
+    val id: String,
+    val type: String,
+    val zone: String,
+    val spot: Boolean,
+    private val clock: Clockwork,
+    private val facts: WorkerFacts,
+    private val nodes: List<String>,
+    private val rules: Rules,
+    private val specOf: (String) -> JobSpec?,
+    private val send: Report,
+) {
+    private class Task(val name: String, val attempt: Int) {
+        var status = "fetching"
+        var cause: String? = null
+        var kept = false
+        val job = name.substringBefore('/')
+        val index = name.substringAfter('/').toInt()
+    }
+
+    private val tasks = LinkedHashMap<Pair<String, Int>, Task>()
+    private val results = HashSet<String>()
+    private var shift = 1L
+    private var tick = 0L
+    private var token = 0L
+    private var answeredSentAt = clock.now
+    private var node = clock.random.nextInt(nodes.size)
+    private var busy = false
+    private var nextAt = clock.now
+    private var lastSentAt = Micros.LONG_AGO
+    private var changed = true
+    var alive = true
+        private set
+
+    /** It executes nothing, but may go on at any time. */
+    var hanging = false
+
+    /** Every task that it starts fails. */
+    var sick = false
+    var recallS: Double? = null
+        set(value) {
+            field = value
+            changed = true
+        }
+
+    init {
+        clock.every(100.millis) { if (alive && !hanging) step() }
+    }
+
+    /** The machine stops with all that is on it. */
+    fun die() {
+        alive = false
+        for (task in tasks.values) leave(task, done = false)
+        tasks.clear()
+    }
+
+    private fun leave(task: Task, done: Boolean) {
+        if (task.status == "running" || task.status == "saving") {
+            rules.ended(task.job, task.index, id, done)
+        }
+    }
+
+    private fun step() {
+        if (clock.now - answeredSentAt > facts.leaseS.secs) {
+            for (task in tasks.values) leave(task, done = false)
+            tasks.clear()
+            shift++
+            tick = 0
+            answeredSentAt = clock.now
+            changed = true
+        }
+        val due = clock.now >= nextAt || (changed && clock.now - lastSentAt >= 500.millis)
+        if (!busy && due) report()
+    }
+
+    fun reportBody() =
+        buildJsonObject {
+                put("box", id)
+                put("endpoint", "$id:9000")
+                put("boxkind", type)
+                put("ward", zone)
+                put("loaners", spot)
+                put("shift", shift)
+                put("tick", ++tick)
+                put("baton", token)
+                recallS?.let { put("recall_s", it) }
+                putJsonArray("pieces") {
+                    for (task in tasks.values) addJsonObject {
+                        put("piece", task.name)
+                        put("try", task.attempt)
+                        put("status", task.status)
+                        if (task.cause != null) put("cause", task.cause)
+                        if (task.kept) put("kept", true)
+                    }
+                }
+            }
+            .toString()
+
+    private fun report() {
+        busy = true
+        changed = false
+        val sentAt = clock.now
+        lastSentAt = sentAt
+        val sentIn = shift
+        nextAt = sentAt + clock.between((facts.reportS * 0.75).secs, (facts.reportS * 1.25).secs)
+        var over = false
+        fun end(next: Boolean) {
+            over = true
+            busy = false
+            if (next) {
+                node = (node + 1) % nodes.size
+                nextAt = clock.now + 1.secs
+            }
+        }
+        clock.after(4.secs) { if (!over) end(next = true) }
+        send(nodes[node], reportBody()) { status, body ->
+            // Dropped after four seconds: commands in such a response are not executed.
+            if (over || !alive || hanging) return@send
+            when (status) {
+                200 -> {
+                    end(next = false)
+                    if (sentIn == shift) take(Json.parseToJsonElement(body).jsonObject, sentAt)
+                }
+                421 -> {
+                    val steward =
+                        if (body.isEmpty()) null
+                        else
+                            Json.parseToJsonElement(body)
+                                .jsonObject["steward"]
+                                ?.jsonPrimitive
+                                ?.content
+                    val index = nodes.indexOf(steward)
+                    end(next = index < 0 || index == node)
+                    if (index >= 0 && index != node) {
+                        node = index
+                        nextAt = clock.now + clock.between(Micros.ZERO, 500.millis)
+                    }
+                }
+                else -> end(next = true)
+            }
+        }
+    }
+
+    private fun take(answer: JsonObject, sentAt: Micros) {
+        val given = answer["baton"]?.jsonPrimitive?.long ?: return
+        if (given < token) return
+        if (given > token) changed = true
+        token = given
+        answeredSentAt = sentAt
+        answer["orders"]?.jsonArray?.forEach { order(it.jsonObject) }
+    }
+
+    /** POST /do; status and body. */
+    fun direct(body: String): Pair<Int, String>? {
+        if (!alive) return null
+        val json = Json.parseToJsonElement(body).jsonObject
+        val given = json.getValue("baton").jsonPrimitive.long
+        val right = given >= token && json.getValue("shift").jsonPrimitive.long == shift
+        if (right) {
+            if (given > token) changed = true
+            token = given
+            json.getValue("orders").jsonArray.forEach { order(it.jsonObject) }
+        }
+        return (if (right) 200 else 409) to reportBody()
+    }
+
+    private fun order(order: JsonObject) {
+        val name = order.getValue("piece").jsonPrimitive.content
+        val attempt = order.getValue("try").jsonPrimitive.int
+        val key = name to attempt
+        when (order.getValue("verb").jsonPrimitive.content) {
+            "start" -> if (key !in tasks) start(Task(name, attempt).also { tasks[key] = it })
+            "halt" -> tasks[key]?.let { halt(it, order.getValue("letgo_s").jsonPrimitive.double) }
+            "forget" -> if (tasks[key]?.status == "ended") tasks.remove(key)
+        }
+        changed = true
+    }
+
+    private fun start(task: Task) {
+        val spec = specOf(task.job)
+        val others = tasks.values.filter { it !== task && it.status != "ended" }
+        val used = others.sumOf { specOf(it.job)?.cpus ?: 0.0 }
+        when {
+            spec == null || task.index >= spec.tasks -> refuse(task, "unknown")
+            others.any { it.name == task.name } -> refuse(task, "busy")
+            used + spec.cpus > CPUS + 1e-6 -> refuse(task, "full")
+            else -> clock.after(clock.between(50.millis, 3.secs)) { run(task, spec) }
+        }
+    }
+
+    private fun refuse(task: Task, cause: String) {
+        task.status = "ended"
+        task.cause = cause
+    }
+
+    private fun present(task: Task) = alive && tasks[task.name to task.attempt] === task
+
+    private fun run(task: Task, spec: JobSpec) {
+        if (!present(task) || task.status != "fetching") return
+        if (hanging) return clock.after(1.secs) { run(task, spec) }
+        if (task.name in results) return end(task, "done", false)
+        task.status = "running"
+        changed = true
+        rules.started(clock.now, task.job, task.index, id, type, zone, spot)
+        if (sick) return clock.after(1.secs) { if (present(task)) end(task, "error", false) }
+        if (spec.estimateS > 0) {
+            clock.after(clock.between(1.secs, (spec.estimateS * 1.5).secs)) { finish(task) }
+        }
+    }
+
+    private fun finish(task: Task) {
+        if (!present(task) || task.status != "running") return
+        if (hanging) return clock.after(1.secs) { finish(task) }
+        results.add(task.name)
+        end(task, "done", true)
+    }
+
+    private fun end(task: Task, cause: String, done: Boolean) {
+        if (task.status == "ended") return
+        leave(task, done)
+        task.status = "ended"
+        task.cause = cause
+        changed = true
+    }
+
+    private fun halt(task: Task, within: Double) {
+        val spec = specOf(task.job) ?: return
+        when {
+            task.status == "ended" -> return
+            task.status == "running" && spec.savable && within >= spec.saveS -> {
+                task.status = "saving"
+                clock.after(spec.saveS.secs) {
+                    task.kept = true
+                    if (present(task)) end(task, "stopped", false)
+                }
+            }
+            task.status == "saving" && within > 0 -> return
+            else -> end(task, "stopped", false)
+        }
+        changed = true
+    }
+
+    companion object {
+        const val CPUS = 16.0
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/wardmux/sim/World.kt
@@ -0,0 +1,318 @@
+package wardmux.sim
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import wardmux.Effect
+import wardmux.Input
+import wardmux.Micros
+import wardmux.Outcome
+import wardmux.Port
+import wardmux.Target
+import wardmux.app.CloudFacts
+import wardmux.app.Controller
+import wardmux.app.Facts
+import wardmux.app.LimitFacts
+import wardmux.app.OperatorSettings
+import wardmux.app.PlatformSettings
+import wardmux.app.ServiceSettings
+import wardmux.app.SiblingSettings
+import wardmux.app.StateFacts
+import wardmux.app.TeamFacts
+import wardmux.app.WorkerFacts
+import wardmux.intake.JobSpec
+import wardmux.intake.Shape
+import wardmux.intake.Urgency
+import wardmux.millis
+import wardmux.secs
+import wardmux.store.lenientJson
+
+/** Real controllers among stand-ins of all that they deal with, in simulated time. */
+class World(
+    seed: Long,
+    txnOps: Int = 8,
+    private val operators: OperatorSettings = OperatorSettings(),
+) {
+    val clock = Clockwork(seed)
+    val network = Network(clock)
+    private val zones = listOf("a", "b", "c")
+    val nodes = listOf("n0", "n1", "n2")
+    private val teams = List(3) { TeamFacts("team-$it", 16.0, 40.0) }
+    private val facts =
+        Facts(
+            nodes = nodes.size,
+            zones = zones,
+            clockErrorMs = 100.0,
+            teams = teams,
+            workers = WorkerFacts(reportS = 2.5, leaseS = 16.0, cancelS = 36.0),
+            state = StateFacts(rps = 90.0, writeRps = 40.0, valueKb = 8.0, txnOps = txnOps),
+            cloud = CloudFacts(rps = 8.0, listLagS = 3.0),
+            limits = LimitFacts(fdLimit = 1000),
+        )
+    val state = StateStandIn(clock, facts.state)
+    val rules = Rules(teams, facts.workers.cancelS.secs + Rules.SLACK)
+    private val specs = HashMap<String, JobSpec>()
+    val cloud = CloudStandIn(clock, zones, capacity = 3, ::worker)
+    private val workers = HashMap<String, WorkerStandIn>()
+    private val running = HashMap<String, Process>()
+    private var boots = 0L
+    private var calls = 0L
+    var accepted = 0
+        private set
+
+    /** One life of a controller. */
+    private inner class Process(val member: String) {
+        val drift = 1.0 + clock.random.nextDouble(-0.0005, 0.0005)
+        val offset = clock.between(Micros.ZERO, 100.millis)
+        val answers = HashMap<Long, (Int, String) -> Unit>()
+        val core = Controller(settings(member), operators, ++boots)
+        var alive = true
+
+        fun feed(input: Input) {
+            if (!alive) return
+            val now = Micros((clock.now.value * drift).toLong())
+            for (effect in core.handle(now, clock.now + offset, input)) perform(effect)
+        }
+
+        private fun perform(effect: Effect) {
+            when (effect) {
+                is Effect.Answer ->
+                    answers.remove(effect.id)?.invoke(effect.status, effect.body.decodeToString())
+                is Effect.Send -> send(effect)
+            }
+        }
+
+        private fun send(effect: Effect.Send) {
+            var over = false
+            clock.after(effect.timeout) {
+                if (!over) feed(Input.Reply(effect.id, Outcome.Unknown))
+                over = true
+            }
+            val back = { status: Int, body: String ->
+                val answer = {
+                    if (!over) {
+                        over = true
+                        feed(
+                            Input.Reply(
+                                effect.id,
+                                Outcome.Response(status, body.encodeToByteArray()),
+                            )
+                        )
+                    }
+                }
+                network.send(hostOf(effect.target), member, answer)
+            }
+            val body = effect.body.decodeToString()
+            network.send(member, hostOf(effect.target)) {
+                when (val target = effect.target) {
+                    is Target.State -> state.handle(member, effect.method, effect.path, body, back)
+                    is Target.Cloud -> cloud.handle(effect.method, effect.path, body, back)
+                    is Target.Worker -> {
+                        val worker = workers[target.address.substringBefore(':')]
+                        deliver(worker, body, back)
+                    }
+                    is Target.Sibling ->
+                        call(
+                            target.member,
+                            Port.PEER,
+                            effect.method,
+                            effect.path,
+                            effect.body,
+                            back,
+                        )
+                }
+            }
+        }
+    }
+
+    /** A hanging machine executes what has arrived when it goes on. */
+    private fun deliver(worker: WorkerStandIn?, body: String, back: (Int, String) -> Unit) {
+        if (worker == null || !worker.alive) return
+        if (worker.hanging) clock.after(500.millis) { deliver(worker, body, back) }
+        else worker.direct(body)?.let { (status, report) -> back(status, report) }
+    }
+
+    private fun hostOf(target: Target): String =
+        when (target) {
+            is Target.State -> "state"
+            is Target.Cloud -> "cloud"
+            is Target.Sibling -> target.member
+            is Target.Worker -> target.address.substringBefore(':')
+        }
+
+    private fun settings(member: String) =
+        PlatformSettings(
+            member = member,
+            site = "a",
+            apiAddress = "10.0.0.1:80",
+            peerAddress = "10.0.0.1:81",
+            siblings = (nodes - member).map { SiblingSettings(it, address = "10.0.0.1:81") },
+            services = ServiceSettings("10.0.0.1:82", "10.0.0.1:83"),
+            facts = facts,
+        )
+
+    private fun call(
+        member: String,
+        port: Port,
+        method: String,
+        path: String,
+        body: ByteArray,
+        answer: (Int, String) -> Unit,
+    ) {
+        val process = running[member]?.takeIf { it.alive } ?: return
+        val id = ++calls
+        process.answers[id] = answer
+        process.feed(Input.Call(id, port, method, path, body))
+    }
+
+    private fun worker(id: String, type: String, zone: String, spot: Boolean): WorkerStandIn {
+        val send: Report = { node, body, answer ->
+            network.send(id, node) {
+                call(node, Port.API, "POST", "/hello", body.encodeToByteArray()) { status, text ->
+                    network.send(node, id) { answer(status, text) }
+                }
+            }
+        }
+        val worker =
+            WorkerStandIn(
+                id,
+                type,
+                zone,
+                spot,
+                clock,
+                facts.workers,
+                nodes,
+                rules,
+                specs::get,
+                send,
+            )
+        workers[id] = worker
+        return worker
+    }
+
+    init {
+        for (node in nodes) boot(node)
+        for (zone in zones) cloud.rent(zone, spot = false)
+    }
+
+    private fun boot(member: String) {
+        val process = Process(member)
+        running[member] = process
+        tick(process)
+    }
+
+    private fun tick(process: Process) {
+        if (!process.alive) return
+        process.feed(Input.Tick)
+        clock.after(100.millis) { tick(process) }
+    }
+
+    fun crash(member: String, back: Micros) {
+        val process = running[member] ?: return
+        process.alive = false
+        clock.after(back) { if (running[member] === process) boot(member) }
+    }
+
+    fun leader(): String? = state.value("leader")?.jsonObject?.get("member")?.jsonPrimitive?.content
+
+    // Users.
+
+    private fun ask(
+        method: String,
+        path: String,
+        body: ByteArray,
+        then: (status: Int?, text: String) -> Unit,
+    ) {
+        var over = false
+        clock.after(5.secs) {
+            if (!over) then(null, "")
+            over = true
+        }
+        val node = nodes[clock.random.nextInt(nodes.size)]
+        network.send("user", node) {
+            call(node, Port.API, method, path, body) { status, text ->
+                network.send(node, "user") {
+                    if (!over) then(status, text)
+                    over = true
+                }
+            }
+        }
+    }
+
+    private fun stateIn(text: String): String? =
+        if (text.startsWith("{"))
+            Json.parseToJsonElement(text).jsonObject["status"]?.jsonPrimitive?.content
+        else null
+
+    fun submit(spec: JobSpec) {
+        specs[spec.id] = spec
+        rules.submitted(spec)
+        submitAgain(spec, clock.now + 60.secs)
+    }
+
+    private fun submitAgain(spec: JobSpec, until: Micros) {
+        val body = lenientJson.encodeToString(JobSpec.serializer(), spec).encodeToByteArray()
+        ask("POST", "/submissions", body) { status, text ->
+            if (status != null) rules.told(clock.now, spec.id, "POST", status, stateIn(text))
+            if (status == 200 || status == 201) {
+                accepted++
+                // Some repeat a request that was carried out.
+                if (clock.chance(0.2))
+                    clock.after(clock.between(1.secs, 40.secs)) { submitAgain(spec, clock.now) }
+                poll(spec.id)
+            } else if (clock.now < until) {
+                clock.after(clock.between(1.secs, 2.secs)) { submitAgain(spec, until) }
+            }
+        }
+    }
+
+    fun poll(job: String) {
+        ask("GET", "/submissions/$job", ByteArray(0)) { status, text ->
+            if (status != null) rules.told(clock.now, job, "GET", status, stateIn(text))
+            clock.after(clock.between(3.secs, 6.secs)) { poll(job) }
+        }
+    }
+
+    fun cancel(job: String) {
+        rules.askedToCancel(job)
+        ask("POST", "/submissions/$job/abort", ByteArray(0)) { status, text ->
+            if (status != null) rules.told(clock.now, job, "abort", status, stateIn(text))
+            if (status != 200) clock.after(1.secs) { cancel(job) }
+        }
+    }
+
+    private var lastJob = 0
+
+    fun randomJob(): JobSpec {
+        val random = clock.random
+        val urgent = random.nextBoolean()
+        val shape = if (clock.chance(0.1)) Shape.DAEMON else Shape.BATCH
+        val tasks = if (shape == Shape.DAEMON) 2 else 1 + random.nextInt(if (urgent) 90 else 12)
+        return JobSpec(
+            id = "job-%06d".format(++lastJob),
+            jobClass = if (urgent) "quick" else "long",
+            team = teams[random.nextInt(teams.size)].name,
+            shape = shape,
+            urgency = if (urgent) Urgency.HIGH else Urgency.NORMAL,
+            tasks = tasks,
+            cpus = if (urgent) 2.0 else 8.0,
+            gpus = 0.0,
+            memoryGb = 4.0,
+            image = "img-${random.nextInt(3)}",
+            imageGb = 0.5,
+            types = null,
+            zone = if (clock.chance(0.1)) "b" else null,
+            oneZone = shape == Shape.BATCH && clock.chance(0.1),
+            spread = clock.chance(0.1),
+            spot = clock.chance(0.8),
+            estimateS = if (shape == Shape.DAEMON) 0.0 else if (urgent) 4.0 else 15.0,
+            checkpointS = if (urgent) 0.0 else 5.0,
+            saveS = if (urgent) 0.0 else 2.0,
+            deadlineS = 60.0,
+        )
+    }
+
+    fun run(until: Micros) = clock.run(until) { rules.check(clock.now) }
+
+    fun problems(): List<String> = rules.broken + state.problems + cloud.problems
+}
