--- a/src/main/kotlin/wardmux/dispatch/Cluster.kt
+++ b/src/main/kotlin/wardmux/dispatch/Cluster.kt
@@ -61,6 +61,7 @@
                 job.nextAttempt(task),
                 machine.id,
                 machine.shift,
+                machine.zone,
                 charge,
                 desk.wall,
             )
@@ -137,6 +138,13 @@
 
     /** Before everything is read again. */
     fun forgetJobs() {
+        for (machine in machines.values) {
+            setStrays(machine, emptyList())
+            for (placement in machine.placements.values.toList()) machine.remove(
+                placement,
+                desk.now,
+            )
+        }
         jobs.clear()
         cpus.clear()
         gpus.clear()
--- a/src/main/kotlin/wardmux/dispatch/Job.kt
+++ b/src/main/kotlin/wardmux/dispatch/Job.kt
@@ -23,6 +23,7 @@
     val attempt: Int,
     val machine: String,
     val shift: Long,
+    val zone: String,
     val cost: Long,
     val weight: Double,
     val at: Long,
@@ -224,6 +225,7 @@
                     saved.attempt,
                     MachineId(saved.machine),
                     saved.shift,
+                    saved.zone,
                     Charge(Cost(saved.cost), saved.weight),
                     Micros(saved.at),
                 )
@@ -240,6 +242,7 @@
             attempt,
             machine.value,
             shift,
+            zone,
             charge.cost.value,
             Math.round(charge.weight * 1e3) / 1e3,
             placedAt.value,
@@ -252,7 +255,7 @@
         const val PAGES = "t/"
 
         /** A placement's record takes at most about this much, so that a page fits a value. */
-        private const val BYTES_A_TASK = 160
+        private const val BYTES_A_TASK = 200
 
         fun pageKey(job: JobId, page: Int) = "$PAGES${job.value}/$page"
 
--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -11,6 +11,7 @@
 import wardmux.fleet.Placement
 import wardmux.fleet.TaskStatus
 import wardmux.intake.JobSpec
+import wardmux.intake.Shape
 import wardmux.intake.Urgency
 import wardmux.logger
 import wardmux.secs
@@ -116,6 +117,7 @@
         full: MutableSet<JobId>,
         admits: (Job, Int) -> Boolean,
     ): Boolean {
+        if (job.spec.shape == Shape.GANG) return placeGang(job, machines, exact, full, admits)
         if (job.waiting <= 0 || cluster.headroom(job.spec) < 1) return false
         val machine = choose(job, machines, exact) ?: return false
         val task = job.takeWaiting()
@@ -130,6 +132,42 @@
         return true
     }
 
+    /**
+     * A gang goes as one unit, once room and cap fit all of it. What is still out of an earlier try
+     * is taken down first: its tasks are of no use without the others.
+     */
+    private fun placeGang(
+        job: Job,
+        machines: List<Machine>,
+        exact: Boolean,
+        full: MutableSet<JobId>,
+        admits: (Job, Int) -> Boolean,
+    ): Boolean {
+        if (job.waiting <= 0) return false
+        if (job.placements.isNotEmpty()) {
+            for (placement in job.placements.values) {
+                if (placement.committed && !placement.halting) stop(placement, "its gang is broken")
+            }
+            return false
+        }
+        if (cluster.headroom(job.spec) < job.waiting) return false
+        val placed = ArrayList<Placement>()
+        while (job.waiting > 0) {
+            val machine = choose(job, machines, exact) ?: break
+            val task = job.takeWaiting()
+            if (task < 0) break
+            if (!admits(job, task)) {
+                job.putBack(task)
+                full.add(job.id)
+                break
+            }
+            placed.add(cluster.place(job, task, machine))
+        }
+        if (job.waiting == 0) return false
+        for (placement in placed) cluster.undo(placement)
+        return false
+    }
+
     private fun usable(machine: Machine): Boolean {
         val heardAt = machine.heardAt ?: return false
         val quiet = (workers.reportS * operators.quietReports).secs
@@ -174,8 +212,7 @@
     private fun zonesOf(job: Job): Map<String, Int> {
         val zones = HashMap<String, Int>()
         for (placement in job.placements.values) {
-            val zone = cluster.machines[placement.machine]?.zone ?: continue
-            zones.merge(zone, 1, Int::plus)
+            zones.merge(placement.zone, 1, Int::plus)
         }
         return zones
     }
@@ -250,6 +287,8 @@
 
     private fun mayStop(job: Job, victim: Placement): Boolean {
         val other = victim.job.spec
+        // One task of a gang takes the others with it.
+        if (other.shape == Shape.GANG) return false
         if (other.urgency > job.spec.urgency) return true
         // A guarantee is called back only from work that keeps what it has done, and never from
         // more urgent work: otherwise two teams below theirs stop each other without end.
--- a/src/main/kotlin/wardmux/fleet/Placement.kt
+++ b/src/main/kotlin/wardmux/fleet/Placement.kt
@@ -13,6 +13,8 @@
     val attempt: Int,
     val machine: MachineId,
     val shift: Long,
+    /** Kept with the placement: its machine may not have been heard of by a later leader. */
+    val zone: String,
     val charge: Charge,
     /** Time of day. */
     val placedAt: Micros,
--- a/src/main/kotlin/wardmux/fleet/WorkerWire.kt
+++ b/src/main/kotlin/wardmux/fleet/WorkerWire.kt
@@ -6,6 +6,9 @@
 @Serializable
 enum class TaskStatus {
     @SerialName("fetching") FETCHING,
+
+    /** Has its image and waits for the rest of its gang. */
+    @SerialName("gathering") GATHERING,
     @SerialName("running") RUNNING,
     @SerialName("saving") SAVING,
     @SerialName("ended") ENDED,
@@ -24,6 +27,7 @@
         get() =
             when (statusName) {
                 "fetching" -> TaskStatus.FETCHING
+                "gathering" -> TaskStatus.GATHERING
                 "saving" -> TaskStatus.SAVING
                 "ended" -> TaskStatus.ENDED
                 else -> TaskStatus.RUNNING
--- a/src/main/kotlin/wardmux/intake/Intake.kt
+++ b/src/main/kotlin/wardmux/intake/Intake.kt
@@ -102,7 +102,7 @@
     private fun neverRuns(spec: JobSpec, known: List<MachineType>): String? {
         val team = teams[spec.team] ?: return "unknown team"
         if (known.none { it.allowedFor(spec) }) return "a task fits no allowed machine type"
-        val tasks = if (spec.shape == Shape.DAEMON) spec.tasks else 1
+        val tasks = if (spec.shape == Shape.BATCH) 1 else spec.tasks
         val slack = MachineType.EPSILON
         return if (
             spec.cpus * tasks > team.cpusMax + slack || spec.gpus * tasks > team.gpusMax + slack
@@ -159,6 +159,9 @@
     }
 
     private fun answerPoll(call: Long, id: JobId, result: Result<Item>) {
+        // Learned while the read was under way; what the read saw is older.
+        val final = finals[id.value]
+        if (final != null) return answerFinal(call, id, final)
         when (result) {
             is Result.Ok -> answerRecord(call, id, JobRecord.of(result.value.data).state)
             is Result.Absent -> desk.answer(call, 404, """{"error":"unknown job"}""")
--- a/src/main/kotlin/wardmux/intake/JobSpec.kt
+++ b/src/main/kotlin/wardmux/intake/JobSpec.kt
@@ -17,6 +17,9 @@
 enum class Shape {
     @SerialName("batch") BATCH,
     @SerialName("daemon") DAEMON,
+
+    /** All tasks run at the same time, and need each other. */
+    @SerialName("group") GANG,
 }
 
 /** From the most to the least urgent. */
@@ -114,6 +117,7 @@
                 when (text(json, "shape")) {
                     "batch" -> Shape.BATCH
                     "daemon" -> Shape.DAEMON
+                    "group" -> Shape.GANG
                     else -> throw Wrong("shape")
                 },
             urgency =
--- a/src/main/kotlin/wardmux/lead/Term.kt
+++ b/src/main/kotlin/wardmux/lead/Term.kt
@@ -146,6 +146,9 @@
 
     private fun load() {
         loadAt = null
+        // Also what an earlier reading took in before it failed half-way: a job that was cancelled
+        // since would stay, and its tasks with it.
+        cluster.forgetJobs()
         val own = ++reading
         val again = { loadAt = desk.now + LOAD_RETRY }
         store.scan(JobRecord.OPEN_PREFIX) { open ->
@@ -295,14 +298,6 @@
         loaded = false
         reading++
         watchAt = null
-        for (machine in cluster.machines.values) {
-            cluster.setStrays(machine, emptyList())
-            for (placement in machine.placements.values.toList()) machine.remove(
-                placement,
-                desk.now,
-            )
-        }
-        cluster.forgetJobs()
         loadAt = desk.now
     }
 
