--- a/src/main/kotlin/wardmux/cloud/Hiring.kt
+++ b/src/main/kotlin/wardmux/cloud/Hiring.kt
@@ -124,9 +124,10 @@
         for (type in known) {
             val own =
                 cluster.machines.values.filter { it.type.label == type.label && !it.condemned }
-            val inUse = own.sumOf { it.load } * (1 + operators.spareShare)
-            val wanted = smooth(type.label, inUse + (soon[type.label] ?: 0.0))
-            val pressing = smooth(type.label + "!", inUse + (patient[type.label] ?: 0.0))
+            val inUse = own.sumOf { it.load }
+            val spare = inUse * operators.spareShare
+            val wanted = smooth(type.label, inUse + spare + (soon[type.label] ?: 0.0), SLOWLY)
+            val pressing = smooth(type.label + "!", inUse + (patient[type.label] ?: 0.0), QUICKLY)
             val have =
                 own.count { it.recalledAt == null } +
                     hiring.values.filter { it.type == type.label }.sumOf { it.count }
@@ -141,9 +142,9 @@
     }
 
     /** Rises at once and falls slowly: a machine given back too early is booted again. */
-    private fun smooth(name: String, now: Double): Double {
+    private fun smooth(name: String, now: Double, part: Double): Double {
         val before = smoothed[name] ?: now
-        val value = maxOf(now, before + (now - before) * SMOOTHING)
+        val value = maxOf(now, before + (now - before) * part)
         smoothed[name] = value
         return value
     }
@@ -269,7 +270,8 @@
         const val MOST_HIRES = 6
         const val BOOT_PATIENCE = 3.0
         const val HORIZON_BOOTS = 0.8
-        const val SMOOTHING = 0.03
+        const val SLOWLY = 0.03
+        const val QUICKLY = 0.1
         const val SLACK_PART = 0.6
         const val SURPLUS = 0.9
         const val ROUNDING = 0.4
--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -29,10 +29,11 @@
     private val cluster: Cluster,
     private val operators: OperatorSettings,
     private val workers: WorkerFacts,
-    private val objectives: List<ObjectiveFacts>,
+    objectives: List<ObjectiveFacts>,
     private val types: () -> List<MachineType>,
 ) {
     private val log = logger<Planner>()
+    private val order = TeamOrder(objectives, cluster.estimates)
 
     /** Places what it can while [admits] has room for the job's page in the write to come. */
     fun plan(admits: (Job, Int) -> Boolean) {
@@ -62,17 +63,12 @@
         full: MutableSet<JobId>,
         admits: (Job, Int) -> Boolean,
     ) {
-        val order =
-            compareBy<Job>(
-                { it.atFault },
-                { lateness(it) },
-                { it.acceptedAt.value },
-                { it.id.value },
-            )
         val byTeam =
             jobs
                 .groupBy { it.spec.team }
-                .mapValues { (_, own) -> ArrayDeque(own.sortedWith(order)) }
+                .mapValues { (team, own) ->
+                    ArrayDeque(order.sort(own, cluster.teams[team], desk.wall))
+                }
         val teams = byTeam.keys.toMutableSet()
         while (teams.isNotEmpty()) {
             val team = teams.minWith(compareBy({ cluster.queue.startTag(it) }, { it }))
@@ -86,30 +82,6 @@
         }
     }
 
-    /**
-     * How many of its class's deadlines the job can no longer meet, even with all that its team may
-     * use. When more is asked than can be done, what is late already stands behind what isn't.
-     */
-    private fun lateness(job: Job): Int {
-        val spec = job.spec
-        val due = spec.deadlineS ?: return 0
-        val team = cluster.teams[spec.team] ?: return 0
-        val left = spec.tasks - job.doneCount
-        val atOnce =
-            if (spec.cpus > 0) (team.cpusMax / spec.cpus).toInt().coerceAtLeast(1) else left
-        val run = cluster.estimates.runTime(spec).seconds
-        val needs = run * maxOf(1.0, left.toDouble() / atOnce)
-        val ends = (desk.wall - job.acceptedAt).seconds + needs
-        return deadlines(spec.jobClass).count { ends > due * it }
-    }
-
-    /** What a class's deadlines are multiplied by, as the users' aims have it. */
-    private fun deadlines(jobClass: String): List<Double> =
-        objectives
-            .filter { it.kind == "deadline" && it.jobClass == jobClass }
-            .map { it.times }
-            .ifEmpty { ONCE }
-
     private fun placeOne(
         job: Job,
         machines: List<Machine>,
@@ -333,7 +305,6 @@
     }
 
     private companion object {
-        val ONCE = listOf(1.0)
         const val FETCH_WEIGHT = 0.5
         const val MOST_AT_ONCE = 64
         const val MOST_WASTE = 2.0
