--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -63,11 +63,12 @@
         full: MutableSet<JobId>,
         admits: (Job, Int) -> Boolean,
     ) {
+        val scarce = cluster.jobs.values.any { isShortOfRoom(it) }
         val byTeam =
             jobs
                 .groupBy { it.spec.team }
                 .mapValues { (team, own) ->
-                    ArrayDeque(order.sort(own, cluster.teams[team], desk.wall))
+                    ArrayDeque(order.sort(own, counted(team, scarce), desk.wall))
                 }
         val teams = byTeam.keys.toMutableSet()
         while (teams.isNotEmpty()) {
@@ -82,6 +83,18 @@
         }
     }
 
+    private fun isShortOfRoom(job: Job): Boolean {
+        val since = job.blockedSince ?: return false
+        return desk.now - since > SCARCE_AFTER && cluster.headroom(job.spec) > 0
+    }
+
+    /** What a team can count on: its cap, or, where room is scarce, what it has or is guaranteed. */
+    private fun counted(team: String, scarce: Boolean): Double {
+        val facts = cluster.teams[team] ?: return 0.0
+        if (!scarce) return facts.cpusMax
+        return minOf(facts.cpusMax, maxOf(facts.cpus, cluster.usedCpus(team)))
+    }
+
     private fun placeOne(
         job: Job,
         machines: List<Machine>,
@@ -311,5 +324,6 @@
         const val RESTART_S = 3.0
         const val SAVE_MARGIN_S = 1.0
         val SOON = 3.secs
+        val SCARCE_AFTER = 4.secs
     }
 }
--- a/src/main/kotlin/wardmux/dispatch/TeamOrder.kt
+++ b/src/main/kotlin/wardmux/dispatch/TeamOrder.kt
@@ -3,7 +3,6 @@
 import java.util.PriorityQueue
 import wardmux.Micros
 import wardmux.app.ObjectiveFacts
-import wardmux.app.TeamFacts
 import wardmux.intake.JobSpec
 
 /**
@@ -17,12 +16,13 @@
 class TeamOrder(private val objectives: List<ObjectiveFacts>, private val estimates: Estimates) {
     private class Entry(val job: Job, val work: Double, val run: Double)
 
-    fun sort(jobs: List<Job>, team: TeamFacts?, wall: Micros): List<Job> {
+    /** [cpus] is what the team can count on now. */
+    fun sort(jobs: List<Job>, cpus: Double, wall: Micros): List<Job> {
         val bySubmission = compareBy<Job>({ it.acceptedAt.value }, { it.id.value })
         val (faulty, good) = jobs.sortedWith(bySubmission).partition { it.atFault }
         val (timed, untimed) = good.partition { limits(it.spec).isNotEmpty() }
-        if (timed.size < 2 || team == null) return good + faulty
-        var open = timed.map { entry(it, team) }
+        if (timed.size < 2 || cpus <= 0) return good + faulty
+        var open = timed.map { entry(it, cpus) }
         val sorted = ArrayList<Job>()
         var spent = 0.0
         val levels = timed.maxOf { limits(it.spec).size }
@@ -45,12 +45,11 @@
         return (deadlines + own.filter { it.kind == "finished" }.map { it.withinS }).sorted()
     }
 
-    private fun entry(job: Job, team: TeamFacts): Entry {
+    private fun entry(job: Job, cpus: Double): Entry {
         val spec = job.spec
         val run = estimates.runTime(spec).seconds
         val left = spec.tasks - job.doneCount - job.placements.size * HALF
-        val share = if (spec.cpus > 0 && team.cpusMax > 0) spec.cpus / team.cpusMax else 0.0
-        return Entry(job, left * share * run, run)
+        return Entry(job, left * spec.cpus / cpus * run, run)
     }
 
     private fun keepInTime(
