--- a/src/main/kotlin/wardmux/app/OperatorSettings.kt
+++ b/src/main/kotlin/wardmux/app/OperatorSettings.kt
@@ -25,7 +25,7 @@
     /** Room kept free for urgent work, as a share of what is in use. */
     @SerialName("spare_share") val spareShare: Double = 0.15,
     /** Wait after which urgent work may stop work of a lower urgency. */
-    @SerialName("preempt_after_s") val preemptAfterS: Double = 0.4,
+    @SerialName("preempt_after_s") val preemptAfterS: Double = 2.5,
     /** Wait after which a team below its guarantee may stop what another runs beyond its own. */
     @SerialName("call_back_after_s") val callBackAfterS: Double = 10.0,
     /** How long a kind of machine that was refused is left alone. */
