--- a/src/main/kotlin/wardmux/cloud/Hiring.kt
+++ b/src/main/kotlin/wardmux/cloud/Hiring.kt
@@ -269,7 +269,7 @@
         const val MOST_AT_ONCE = 50
         const val MOST_HIRES = 6
         const val BOOT_PATIENCE = 3.0
-        const val HORIZON_BOOTS = 0.8
+        const val HORIZON_BOOTS = 0.5
         const val SLOWLY = 0.03
         const val QUICKLY = 0.1
         const val SLACK_PART = 0.6
