--- a/src/main/kotlin/wardmux/dispatch/Job.kt
+++ b/src/main/kotlin/wardmux/dispatch/Job.kt
@@ -68,6 +68,9 @@
     /** Since when a task that could run has not been placed; null while none waits for room. */
     var blockedSince: Micros? = null
 
+    /** When others were last stopped to give its team the guarantee. */
+    var calledBackAt = Micros.LONG_AGO
+
     val doneCount: Int
         get() = done.cardinality()
 
--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -88,7 +88,9 @@
         return desk.now - since > SCARCE_AFTER && cluster.headroom(job.spec) > 0
     }
 
-    /** What a team can count on: its cap, or, where room is scarce, what it has or is guaranteed. */
+    /**
+     * What a team can count on: its cap, or, where room is scarce, what it has or is guaranteed.
+     */
     private fun counted(team: String, scarce: Boolean): Double {
         val facts = cluster.teams[team] ?: return 0.0
         if (!scarce) return facts.cpusMax
@@ -257,6 +259,7 @@
                 .filter { mayStop(job, it) }
                 .sortedBy { loss(it) }
         var freed = 0.0
+        var calledBack = false
         for (victim in victims) {
             if (freed >= wanted) break
             if (fetchesAlone(victim)) continue
@@ -265,8 +268,10 @@
             // Much larger than what is needed: it would destroy more than it pays for.
             if (victim.job.spec.cpus > (wanted - freed) * MOST_WASTE) continue
             stop(victim, "room for ${job.id}")
+            if (victim.job.spec.urgency == job.spec.urgency) calledBack = true
             freed += victim.job.spec.cpus
         }
+        if (calledBack) job.calledBackAt = desk.now
         return freed
     }
 
@@ -278,13 +283,21 @@
         // A guarantee is called back only from work that keeps what it has done, and never from
         // more urgent work: otherwise two teams below theirs stop each other without end.
         if (other.team == job.spec.team || other.urgency < job.spec.urgency) return false
-        if (!other.savable || waited(job) < operators.callBackAfterS.secs) return false
+        if (!other.savable || !mayCallBack(job)) return false
+        // Only for the team that the room would go to.
+        if (cluster.queue.startTag(job.spec.team) > cluster.queue.startTag(other.team)) return false
         val own = cluster.teams[job.spec.team] ?: return false
         val theirs = cluster.teams[other.team] ?: return false
         return cluster.usedCpus(job.spec.team) + job.spec.cpus <= own.cpus &&
             cluster.usedCpus(other.team) - other.cpus >= theirs.cpus
     }
 
+    /** After each call-back a job waits again, so that the room can come to it. */
+    private fun mayCallBack(job: Job): Boolean {
+        val pause = operators.callBackAfterS.secs
+        return waited(job) >= pause && desk.now - job.calledBackAt >= pause
+    }
+
     private fun waited(job: Job): Micros = job.blockedSince?.let { desk.now - it } ?: Micros.ZERO
 
     /** Stopping the last task that waits for an image throws the fetch away. */
--- a/src/main/kotlin/wardmux/dispatch/TeamOrder.kt
+++ b/src/main/kotlin/wardmux/dispatch/TeamOrder.kt
@@ -8,10 +8,10 @@
 /**
  * The order of one team's jobs of one urgency. Jobs without a time to be done by go in the order of
  * submission. Where more is asked than the team's cap can do in time, it is decided for the class
- * as a whole which jobs are kept in time, so that as many as possible are: by deadline, and whenever
- * one would be late, the job with the most work left is put behind (Moore and Hodgson's rule). What
- * is put behind is held against the class's next, later deadline in the same way. A job that is at
- * fault comes last.
+ * as a whole which jobs are kept in time, so that as many as possible are: by deadline, and
+ * whenever one would be late, the job with the most work left is put behind (Moore and Hodgson's
+ * rule). What is put behind is held against the class's next, later deadline in the same way. A job
+ * that is at fault comes last.
  */
 class TeamOrder(private val objectives: List<ObjectiveFacts>, private val estimates: Estimates) {
     private class Entry(val job: Job, val work: Double, val run: Double)
