--- a/src/main/kotlin/wardmux/cloud/Hiring.kt
+++ b/src/main/kotlin/wardmux/cloud/Hiring.kt
@@ -27,6 +27,7 @@
     private val zones: List<String>,
     private val objectives: List<ObjectiveFacts>,
     private val condemn: (Machine, String) -> Unit,
+    private val absolve: (Machine) -> Unit,
 ) {
     /** One kind of thing that the cloud rents. */
     private data class Kind(val type: String, val zone: String, val spot: Boolean)
@@ -42,12 +43,16 @@
     private var listed = false
     private var deleteAt = Micros.LONG_AGO
     private val hiring = HashMap<String, HireOrder>()
+    private val absolveAt = ArrayDeque<Pair<Micros, Machine>>()
     private val retryAt = HashMap<String, Micros>()
 
     fun tick(sure: Boolean) {
         if (desk.now >= listAt && !listing && cloud.ready()) list()
         if (!sure) return
         deleteCondemned()
+        while (absolveAt.isNotEmpty() && desk.now >= absolveAt.first().first) {
+            absolve(absolveAt.removeFirst().second)
+        }
         for ((name, at) in retryAt.toList()) {
             if (desk.now >= at && cloud.ready()) {
                 retryAt.remove(name)
@@ -115,6 +120,7 @@
         }
         cluster.machines.remove(machine.id)
         fleet.gone.add(machine.id)
+        absolveAt.addLast(desk.now + RECORD_KEPT to machine)
     }
 
     private fun decide() {
@@ -264,6 +270,9 @@
     private companion object {
         val PERIOD = 1.secs
         val RETRY = 1.secs
+
+        /** Late lists may show a deleted machine for a while; its record then keeps it out. */
+        val RECORD_KEPT = 60.secs
         val DELETE_TIME = 6.secs
         const val MOST_DELETED = 100
         const val MOST_AT_ONCE = 50
--- a/src/main/kotlin/wardmux/dispatch/Ledger.kt
+++ b/src/main/kotlin/wardmux/dispatch/Ledger.kt
@@ -63,6 +63,7 @@
         val pages = ArrayList<WrittenPage>()
         val finishing = ArrayList<Job>()
         val condemning = ArrayList<Machine>()
+        val absolving = ArrayList<Machine>()
         private var bytes = 0
 
         fun room(changesNeeded: Int, conditionsNeeded: Int) =
@@ -78,6 +79,7 @@
 
     private val log = logger<Ledger>()
     private val condemning = LinkedHashSet<Machine>()
+    private val absolving = LinkedHashSet<Machine>()
     private var inFlight = false
     private var nextAt = Micros.LONG_AGO
 
@@ -89,6 +91,11 @@
         condemning.add(machine)
     }
 
+    /** Deleted long enough ago: its record is of no more use. */
+    fun absolve(machine: Machine) {
+        absolving.add(machine)
+    }
+
     /**
      * Pages that one write may still take, for the planner: it places no more than can be written.
      */
@@ -117,6 +124,7 @@
         addCondemned(draft)
         addDirty(draft)
         addLeftOver(draft)
+        addAbsolved(draft)
         if (draft.changes.isEmpty()) return
         if (cluster.tagsMoved) draft.put(FairQueue.KEY, cluster.queue.toJson(desk.wall))
         cluster.tagsMoved = false
@@ -182,6 +190,14 @@
         }
     }
 
+    private fun addAbsolved(draft: Draft) {
+        for (machine in absolving) {
+            if (!draft.room(1, 0)) return
+            draft.changes.add(Change(remove = machineKey(machine)))
+            draft.absolving.add(machine)
+        }
+    }
+
     private fun addPage(draft: Draft, job: Job, page: Int) {
         val key = Job.pageKey(job.id, page)
         draft.conditions.add(Condition(key, job.pageStamp(page)))
@@ -231,6 +247,7 @@
             condemning.remove(machine)
             listener.condemned(machine)
         }
+        absolving.removeAll(draft.absolving.toSet())
         listener.written()
     }
 
--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -104,6 +104,7 @@
         if (report.token == token.value) machine.confirmed = true
         if (report.recallS != null && machine.recalledAt == null) {
             machine.recalledAt = desk.now
+            machine.takenAt = desk.now + report.recallS.secs
             log.info("{} is taken back in {} s", machine.id, report.recallS)
         }
     }
@@ -341,6 +342,9 @@
                 log.info("the lease of {} is over", machine.id)
                 cluster.clear(machine, "lease over")
             }
+            // Past its notice and quiet: taken. Deleting it proves that, sooner than waiting does.
+            val taken = desk.now > machine.takenAt + TAKEN_MARGIN && silence > TAKEN_MARGIN
+            if (taken) condemn(machine, "taken back")
             if (silence > lostAfter) silent.add(machine)
             // Nothing new goes there, so that what went unanswered can do no harm.
             else if (machine.directBroken && machine.empty) condemn(machine, "orders unanswered")
@@ -378,6 +382,7 @@
     }
 
     private companion object {
+        val TAKEN_MARGIN = 1.secs
         val DIRECT_TIME = 4.secs
         const val MAX_DIRECT = 300
         val REFUSED_PAUSE = 1.secs
--- a/src/main/kotlin/wardmux/fleet/Machine.kt
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -41,6 +41,9 @@
     /** It has reported under this leader's token, so no earlier leader can order it about. */
     var confirmed = false
     var recalledAt: Micros? = null
+
+    /** When the cloud takes it, as its notice says. */
+    var takenAt = Micros.NEVER
     var condemned = false
     var condemnedWhy = ""
     var deleting = false
--- a/src/main/kotlin/wardmux/lead/Term.kt
+++ b/src/main/kotlin/wardmux/lead/Term.kt
@@ -84,6 +84,7 @@
             facts.zones,
             facts.objectives,
             ::condemn,
+            ledger::absolve,
         )
     private var loaded = false
     private var over = false
