--- /dev/null
+++ b/src/test/kotlin/wardmux/lead/TakeOverTest.kt
@@ -0,0 +1,140 @@
+package wardmux.lead
+
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlinx.serialization.json.Json
+import wardmux.intake.JobRecord
+import wardmux.intake.JobSpec
+import wardmux.intake.JobState
+import wardmux.intake.Shape
+import wardmux.intake.Urgency
+import wardmux.secs
+import wardmux.sim.Rig
+
+/** What a new leader makes of what it finds; each test is a failure that was once found. */
+class TakeOverTest {
+    private val rig = Rig()
+
+    private fun spec(tasks: Int, oneZone: Boolean = false) =
+        JobSpec(
+            "job-000001",
+            "c",
+            "team-0",
+            Shape.BATCH,
+            Urgency.HIGH,
+            tasks,
+            2.0,
+            0.0,
+            1.0,
+            "img",
+            0.5,
+            types = null,
+            zone = null,
+            oneZone = oneZone,
+            spread = false,
+            spot = true,
+            estimateS = 50.0,
+            checkpointS = 0.0,
+            saveS = 0.0,
+        )
+
+    private fun placed(machine: String, zone: String) =
+        rig.write(
+            "t/job-000001/0",
+            Json.parseToJsonElement(
+                """{"d":[],"a":[],"p":[{"task":0,"attempt":1,"machine":"$machine","shift":1,""" +
+                    """"zone":"$zone","cost":1,"weight":1.0,"at":0}]}"""
+            ),
+        )
+
+    private var tick = 0
+
+    private fun hello(machine: String, zone: String, token: Long, tasks: String = ""): String {
+        val body =
+            """{"box":"$machine","endpoint":"10.0.0.9:9","boxkind":"mid","ward":"$zone","loaners":""" +
+                """false,"shift":1,"tick":${++tick},"baton":$token,"pieces":[$tasks]}"""
+        val answer = rig.call("POST", "/hello", body.encodeToByteArray())
+        assertEquals(200, answer?.first)
+        return answer?.second.orEmpty()
+    }
+
+    private fun token(): Long =
+        Regex("\"baton\":(\\d+)").find(hello("i-000099", "a", 0))!!.groupValues[1].toLong()
+
+    @Test
+    fun `a job cancelled between two readings of what is stored is taken down`() {
+        val job = spec(1)
+        rig.accept(job)
+        placed("i-000001", "a")
+        // The first reading fails after it has taken in the job as accepted: at the record of
+        // another job, of which only a page is left.
+        rig.write("t/job-000002/0", Json.parseToJsonElement("""{"d":[],"a":[],"p":[]}"""))
+        val other = JobRecord(JobState.CANCELLED, 0, job.copy(id = "job-000002"))
+        rig.write("j/job-000002", other.toJson())
+        var refused = false
+        rig.refuse = { path ->
+            val first = path == "/keys/j/job-000002" && !refused
+            refused = refused || first
+            first
+        }
+        while (!refused) rig.run(0.1.secs)
+        rig.write(JobRecord.key(job.jobId), JobRecord(JobState.CANCELLED, 0, job).toJson())
+        rig.remove(JobRecord.openKey(job.jobId))
+        rig.run(2.secs)
+        val running = """{"piece":"job-000001/0","try":1,"status":"running"}"""
+        assertContains(hello("i-000001", "a", token(), running), "\"verb\":\"halt\"")
+    }
+
+    @Test
+    fun `a job that must stay in one zone stays there though its machine is still silent`() {
+        rig.accept(spec(2, oneZone = true))
+        placed("i-000009", "b")
+        rig.run(2.secs)
+        val token = token()
+        repeat(6) {
+            hello("i-000001", "a", token)
+            rig.run(0.5.secs)
+        }
+        assertFalse(rig.direct.any { "job-000001/1" in it }, "started in the other zone")
+        repeat(4) {
+            hello("i-000002", "b", token)
+            rig.run(0.5.secs)
+        }
+        val last = hello("i-000002", "b", token)
+        assertContains(rig.direct.joinToString() + last, "job-000001/1")
+    }
+
+    @Test
+    fun `what is placed is started again by a later leader under the same attempt`() {
+        rig.accept(spec(1))
+        placed("i-000001", "a")
+        rig.run(2.secs)
+        val answer = hello("i-000001", "a", token())
+        assertContains(answer, """{"verb":"start","piece":"job-000001/0","try":1}""")
+    }
+
+    @Test
+    fun `a worker that has seen a higher token is sent elsewhere, and the leader steps down`() {
+        rig.run(2.secs)
+        hello("i-000001", "a", 0)
+        val body =
+            """{"box":"i-000001","endpoint":"","boxkind":"mid","ward":"a","shift":1,"tick":99,""" +
+                """"baton":999999,"pieces":[]}"""
+        val answer = rig.call("POST", "/hello", body.encodeToByteArray())
+        assertEquals(true, answer?.first in listOf(421, 503))
+    }
+
+    @Test
+    fun `a late report gets no orders and proves nothing`() {
+        rig.accept(spec(1))
+        placed("i-000001", "a")
+        rig.run(2.secs)
+        val token = token()
+        tick = 50
+        assertContains(hello("i-000001", "a", token), "start")
+        tick = 10
+        assertFalse("start" in hello("i-000001", "a", token))
+    }
+}
