--- a/src/main/kotlin/wardmux/Core.kt
+++ b/src/main/kotlin/wardmux/Core.kt
@@ -1,5 +1,6 @@
 package wardmux
 
+import org.agrona.collections.Long2ObjectHashMap
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 
@@ -80,7 +81,7 @@
         private set
 
     private var lastRequest = 0L
-    private val waiting = HashMap<Long, (Outcome) -> Unit>()
+    private val waiting = Long2ObjectHashMap<(Outcome) -> Unit>()
 
     fun at(now: Micros, wall: Micros) {
         this.now = now
--- a/src/main/kotlin/wardmux/http/HttpServer.kt
+++ b/src/main/kotlin/wardmux/http/HttpServer.kt
@@ -23,6 +23,8 @@
 import io.netty.util.ReferenceCountUtil
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
+import org.agrona.collections.Long2ObjectHashMap
+import wardmux.Micros
 import wardmux.Port
 import wardmux.logger
 
@@ -44,10 +46,11 @@
     private val idleSeconds: Long,
     private val onArrival: (Arrival) -> Unit,
 ) {
-    private class Pending(val channel: Channel, val keepAlive: Boolean)
+    private class Pending(val channel: Channel, val keepAlive: Boolean, val since: Long)
 
     private val log = logger<HttpServer>()
-    private val pending = HashMap<Long, Pending>()
+    private val pending = Long2ObjectHashMap<Pending>()
+    private val times = AnswerTimes("answers")
     private var lastId = 0L
     private var open = 0
 
@@ -76,6 +79,9 @@
 
     fun answer(id: Long, status: Int, body: ByteArray, retryAfterS: Int?) {
         val waiting = pending.remove(id) ?: return
+        val now = System.nanoTime()
+        times.record(Micros((now - waiting.since) / 1_000))
+        times.tell(Micros(now / 1_000))
         respond(waiting.channel, waiting.keepAlive, status, body, retryAfterS)
     }
 
@@ -129,7 +135,8 @@
                 request.content().readBytes(body)
                 val id = ++lastId
                 current = id
-                pending[id] = Pending(context.channel(), HttpUtil.isKeepAlive(request))
+                pending[id] =
+                    Pending(context.channel(), HttpUtil.isKeepAlive(request), System.nanoTime())
                 onArrival(Arrival(id, port, request.method().name(), request.uri(), body))
             } finally {
                 ReferenceCountUtil.release(message)
