A machine is hired for work that nothing rented can ever take

A single small task rounded to no machine at all and waited for ever, and so did work bound to a zone or kind without machines. Three tests that fail without the cure.

--- a/src/main/kotlin/wardmux/cloud/Hiring.kt
+++ b/src/main/kotlin/wardmux/cloud/Hiring.kt
@@ -9,6 +9,7 @@
 import wardmux.app.OperatorSettings
 import wardmux.dispatch.Cluster
 import wardmux.dispatch.Job
+import wardmux.dispatch.Planner
 import wardmux.fleet.Fleet
 import wardmux.fleet.Machine
 import wardmux.logger
@@ -21,6 +22,7 @@
     private val types: TypeBook,
     private val cluster: Cluster,
     private val fleet: Fleet,
+    private val planner: Planner,
     private val operators: OperatorSettings,
     private val facts: CloudFacts,
     private val token: Token,
@@ -127,6 +129,7 @@
         val known = types.types ?: return
         val soon = backlog(known, patient = false)
         val patient = backlog(known, patient = true)
+        for (job in planner.shortOfRoom()) hireFor(job, known)
         for (type in known) {
             val own =
                 cluster.machines.values.filter { it.type.label == type.label && !it.condemned }
@@ -147,6 +150,53 @@
         }
     }
 
+    /**
+     * A job that nothing rented or on order can take, whatever room comes free: by zone, kind or
+     * type, or because there is no machine at all. Counting loads would never hire for it.
+     */
+    private fun hireFor(job: Job, known: List<MachineType>) {
+        if (job.atFault) return
+        val there =
+            cluster.machines.values.any {
+                !it.condemned &&
+                    it.recalledAt == null &&
+                    planner.suits(job, it.type, it.zone, it.spot)
+            }
+        val coming =
+            hiring.values.any { order ->
+                val type = types.byLabel(order.type)
+                type != null && planner.suits(job, type, order.zone, order.spot)
+            }
+        if (there || coming) return
+        for (spot in listOf(true, false)) {
+            for (type in known.sortedBy { if (spot) it.spotPrice else it.price }) {
+                val zone = openZones(type, spot).firstOrNull { planner.suits(job, type, it, spot) }
+                if (zone == null || !cloud.ready()) continue
+                order(Kind(type.label, zone, spot), 1)
+                return
+            }
+        }
+    }
+
+    /** Zones where this kind was not refused lately, those with the fewest such machines first. */
+    private fun openZones(type: MachineType, spot: Boolean): List<String> =
+        type.zones
+            .filter { it in zones }
+            .filter { desk.now >= (refusedUntil[Kind(type.label, it, spot)] ?: Micros.LONG_AGO) }
+            .sortedBy { zone ->
+                cluster.machines.values.count {
+                    it.zone == zone && it.type.label == type.label && it.spot == spot
+                }
+            }
+
+    private fun order(kind: Kind, count: Int) {
+        // Never used again, by this controller or another: a token is one leader's alone.
+        val name = "w${token.value}-${++counter}"
+        val order = HireOrder(name, kind.type, kind.zone, kind.spot, count)
+        hiring[name] = order
+        ask(order)
+    }
+
     /** Rises at once and falls slowly: a machine given back too early is booted again. */
     private fun smooth(name: String, now: Double, part: Double): Double {
         val before = smoothed[name] ?: now
@@ -202,28 +252,15 @@
 
     /** Spread over the zones; false if no such machine is to be had for now. */
     private fun hire(type: MachineType, missing: Int, spot: Boolean): Boolean {
-        val kinds =
-            type.zones
-                .filter { it in zones }
-                .map { Kind(type.label, it, spot) }
-                .filter { desk.now >= (refusedUntil[it] ?: Micros.LONG_AGO) }
-                .sortedBy { kind ->
-                    cluster.machines.values.count {
-                        it.zone == kind.zone && it.type.label == type.label && it.spot == spot
-                    }
-                }
-        if (kinds.isEmpty()) return false
-        val share = (missing + kinds.size - 1) / kinds.size
+        val open = openZones(type, spot)
+        if (open.isEmpty()) return false
+        val share = (missing + open.size - 1) / open.size
         var left = missing
-        for (kind in kinds) {
+        for (zone in open) {
             val count = minOf(share, left, MOST_AT_ONCE)
             if (count <= 0 || !cloud.ready() || hiring.size >= MOST_HIRES) break
             left -= count
-            // Never used again, by this controller or another: a token is one leader's alone.
-            val name = "w${token.value}-${++counter}"
-            val order = HireOrder(name, kind.type, kind.zone, kind.spot, count)
-            hiring[name] = order
-            ask(order)
+            order(Kind(type.label, zone, spot), count)
         }
         return true
     }
--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -195,6 +195,19 @@
         return best
     }
 
+    /** True if a machine of this kind could take a task of the job, were it empty. */
+    fun suits(job: Job, type: MachineType, zone: String, spot: Boolean): Boolean {
+        val spec = job.spec
+        if (!type.allowedFor(spec) || (spot && !spec.spot)) return false
+        if (spec.zone != null && spec.zone != zone) return false
+        val zones = if (spec.oneZone || spec.spread) zonesOf(job) else return true
+        if (spec.oneZone && zones.isNotEmpty() && zone !in zones) return false
+        return !spec.spread || (zones[zone] ?: 0) < spec.zoneLimit
+    }
+
+    /** Jobs that wait for room although their team may use more. */
+    fun shortOfRoom(): List<Job> = cluster.jobs.values.filter { isShortOfRoom(it) }
+
     /** Where the job's tasks are or may be, with how many. */
     private fun zonesOf(job: Job): Map<String, Int> {
         val zones = HashMap<String, Int>()
--- a/src/main/kotlin/wardmux/lead/Term.kt
+++ b/src/main/kotlin/wardmux/lead/Term.kt
@@ -78,6 +78,7 @@
             types,
             cluster,
             fleet,
+            planner,
             operators,
             facts.cloud,
             role.token,
--- /dev/null
+++ b/src/test/kotlin/wardmux/sim/SmallWorkTest.kt
@@ -0,0 +1,43 @@
+package wardmux.sim
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import wardmux.intake.Shape
+import wardmux.intake.Urgency
+import wardmux.secs
+
+/** Work too small or too particular for the sums that hiring goes by still gets its machine. */
+class SmallWorkTest {
+    private fun finalOf(spot: Boolean, zone: String?): String? {
+        val world = World(5, rented = false)
+        val spec =
+            world
+                .randomJob()
+                .copy(
+                    shape = Shape.BATCH,
+                    urgency = Urgency.NORMAL,
+                    tasks = 1,
+                    cpus = 1.0,
+                    zone = zone,
+                    oneZone = false,
+                    spread = false,
+                    spot = spot,
+                    estimateS = 3.0,
+                )
+        world.run(5.secs)
+        world.submit(spec)
+        world.run(120.secs)
+        assertEquals(emptyList(), world.problems())
+        return world.rules.finalOf(spec.id)
+    }
+
+    @Test fun `one small task with no machine at all`() = assertEquals("done", finalOf(true, null))
+
+    @Test
+    fun `one small task that may not run on spot machines`() =
+        assertEquals("done", finalOf(false, null))
+
+    @Test
+    fun `one small task that must be in a zone without machines`() =
+        assertEquals("done", finalOf(false, "c"))
+}
--- a/src/test/kotlin/wardmux/sim/World.kt
+++ b/src/test/kotlin/wardmux/sim/World.kt
@@ -32,6 +32,8 @@
     seed: Long,
     txnOps: Int = 8,
     private val operators: OperatorSettings = OperatorSettings(),
+    /** Some machines are up at the start. */
+    rented: Boolean = true,
 ) {
     val clock = Clockwork(seed)
     val network = Network(clock)
@@ -192,7 +194,7 @@
 
     init {
         for (node in nodes) boot(node)
-        for (zone in zones) cloud.rent(zone, spot = false)
+        if (rented) for (zone in zones) cloud.rent(zone, spot = false)
     }
 
     private fun boot(member: String) {
