--- a/src/main/kotlin/wardmux/cloud/Hiring.kt
+++ b/src/main/kotlin/wardmux/cloud/Hiring.kt
@@ -226,7 +226,12 @@
             val type = known.filter { it.allowedFor(spec) }.minByOrNull { it.cpus } ?: continue
             val run = cluster.estimates.runTime(spec).seconds.coerceAtLeast(1.0)
             var horizon = type.bootS * HORIZON_BOOTS
-            if (patient) horizon = maxOf(horizon, slack(job, run) * SLACK_PART)
+            if (patient) {
+                val slack = slack(job, run)
+                // Of a kind that is over before a machine is up: a dear one is not for that.
+                if (slack + age(job) < type.bootS) continue
+                horizon = maxOf(horizon, slack * SLACK_PART)
+            }
             val part = tasks / type.fitting(spec).coerceAtLeast(1) * minOf(1.0, run / horizon)
             machines.merge(type.label, part, Double::plus)
         }
@@ -236,7 +241,6 @@
     /** Seconds that the job can still wait before it misses what its users expect of its class. */
     private fun slack(job: Job, run: Double): Double {
         val spec = job.spec
-        val age = (desk.wall - job.acceptedAt).seconds
         val limits =
             objectives
                 .filter { it.jobClass == spec.jobClass }
@@ -247,9 +251,11 @@
                         else -> null
                     }
                 } + listOfNotNull(spec.deadlineS?.let { it - run })
-        return (limits.minOrNull() ?: 0.0) - age
+        return (limits.minOrNull() ?: 0.0) - age(job)
     }
 
+    private fun age(job: Job) = (desk.wall - job.acceptedAt).seconds
+
     /** Spread over the zones; false if no such machine is to be had for now. */
     private fun hire(type: MachineType, missing: Int, spot: Boolean): Boolean {
         val open = openZones(type, spot)
--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -47,7 +47,7 @@
         for (exact in listOf(true, false)) {
             for (urgency in Urgency.entries) {
                 val jobs = ready.filter { it.spec.urgency == urgency && it.id !in full }
-                if (jobs.isNotEmpty()) pass(jobs, machines, exact, full, admits)
+                if (jobs.isNotEmpty()) place(jobs, Pass(machines, exact, full, admits))
             }
         }
         for (job in ready) {
@@ -56,13 +56,16 @@
         }
     }
 
-    private fun pass(
-        jobs: List<Job>,
-        machines: List<Machine>,
-        exact: Boolean,
-        full: MutableSet<JobId>,
-        admits: (Job, Int) -> Boolean,
-    ) {
+    /** One look over the machines, for exact fits or for any. */
+    private class Pass(
+        val machines: List<Machine>,
+        val exact: Boolean,
+        /** Jobs for whose pages the write to come has no room. */
+        val full: MutableSet<JobId>,
+        val admits: (Job, Int) -> Boolean,
+    )
+
+    private fun place(jobs: List<Job>, pass: Pass) {
         val scarce = cluster.jobs.values.any { isShortOfRoom(it) }
         val byTeam =
             jobs
@@ -79,7 +82,7 @@
                 teams.remove(team)
                 continue
             }
-            if (!placeOne(job, machines, exact, full, admits)) own.removeFirst()
+            if (!placeOne(job, pass)) own.removeFirst()
         }
     }
 
@@ -97,21 +100,15 @@
         return minOf(facts.cpusMax, maxOf(facts.cpus, cluster.usedCpus(team)))
     }
 
-    private fun placeOne(
-        job: Job,
-        machines: List<Machine>,
-        exact: Boolean,
-        full: MutableSet<JobId>,
-        admits: (Job, Int) -> Boolean,
-    ): Boolean {
-        if (job.spec.shape == Shape.GANG) return placeGang(job, machines, exact, full, admits)
+    private fun placeOne(job: Job, pass: Pass): Boolean {
+        if (job.spec.shape == Shape.GANG) return placeGang(job, pass)
         if (job.waiting <= 0 || cluster.headroom(job.spec) < 1) return false
-        val machine = choose(job, machines, exact) ?: return false
+        val machine = choose(job, pass) ?: return false
         val task = job.takeWaiting()
         if (task < 0) return false
-        if (!admits(job, task)) {
+        if (!pass.admits(job, task)) {
             job.putBack(task)
-            full.add(job.id)
+            pass.full.add(job.id)
             return false
         }
         val placement = cluster.place(job, task, machine)
@@ -123,13 +120,7 @@
      * A gang goes as one unit, once room and cap fit all of it. What is still out of an earlier try
      * is taken down first: its tasks are of no use without the others.
      */
-    private fun placeGang(
-        job: Job,
-        machines: List<Machine>,
-        exact: Boolean,
-        full: MutableSet<JobId>,
-        admits: (Job, Int) -> Boolean,
-    ): Boolean {
+    private fun placeGang(job: Job, pass: Pass): Boolean {
         if (job.waiting <= 0) return false
         if (job.placements.isNotEmpty()) {
             for (placement in job.placements.values) {
@@ -140,12 +131,12 @@
         if (cluster.headroom(job.spec) < job.waiting) return false
         val placed = ArrayList<Placement>()
         while (job.waiting > 0) {
-            val machine = choose(job, machines, exact) ?: break
+            val machine = choose(job, pass) ?: break
             val task = job.takeWaiting()
             if (task < 0) break
-            if (!admits(job, task)) {
+            if (!pass.admits(job, task)) {
                 job.putBack(task)
-                full.add(job.id)
+                pass.full.add(job.id)
                 break
             }
             placed.add(cluster.place(job, task, machine))
@@ -175,15 +166,15 @@
             (spec.types == null || machine.type.label in spec.types) &&
             (spec.zone == null || spec.zone == machine.zone)
 
-    private fun choose(job: Job, machines: List<Machine>, exact: Boolean): Machine? {
+    private fun choose(job: Job, pass: Pass): Machine? {
         val spec = job.spec
         val zones = if (spec.oneZone || spec.spread) zonesOf(job) else emptyMap()
         var best: Machine? = null
         var bestScore = Double.MAX_VALUE
-        for (machine in machines) {
+        for (machine in pass.machines) {
             if (!allowed(spec, machine) || !machine.fits(spec)) continue
-            if (exact && !exactFor(spec, machine.type)) continue
-            if (machine.id in job.failedOn && machines.size > job.failedOn.size) continue
+            if (pass.exact && !exactFor(spec, machine.type)) continue
+            if (machine.id in job.failedOn && pass.machines.size > job.failedOn.size) continue
             if (spec.oneZone && zones.isNotEmpty() && machine.zone !in zones) continue
             if (spec.spread && (zones[machine.zone] ?: 0) >= spec.zoneLimit) continue
             val score = score(spec, machine)
