Each leader write holds only while the tags are as last seen

Two writes to different jobs were not ordered by their pages' stamps: one given up on and applied late could add its placements to those made since, and a later leader would start both, past a team's cap.

--- a/src/main/kotlin/wardmux/dispatch/Cluster.kt
+++ b/src/main/kotlin/wardmux/dispatch/Cluster.kt
@@ -27,9 +27,6 @@
     private val cpus = Object2DoubleOpenHashMap<String>()
     private val gpus = Object2DoubleOpenHashMap<String>()
 
-    /** Tags or usage have changed since they were last written. */
-    var tagsMoved = false
-
     fun usedCpus(team: String) = cpus.getDouble(team)
 
     /** How many more tasks like this the team's cap allows. */
@@ -68,7 +65,6 @@
         job.place(placement)
         restore(placement, machine)
         machine.useImage(job.spec.image, job.spec.imageGb, desk.now)
-        tagsMoved = true
         return placement
     }
 
@@ -118,7 +114,6 @@
             val ran = desk.now - since
             estimates.learn(job.spec, ran)
             queue.correct(job.spec.team, placement.charge, cost(job.spec, ran), desk.wall)
-            tagsMoved = true
         }
         job.complete(placement.task.index)
         release(placement, "done")
--- a/src/main/kotlin/wardmux/dispatch/Ledger.kt
+++ b/src/main/kotlin/wardmux/dispatch/Ledger.kt
@@ -68,7 +68,7 @@
 
         fun room(changesNeeded: Int, conditionsNeeded: Int) =
             changes.size + changesNeeded < store.maxChanges &&
-                conditions.size + conditionsNeeded <= store.maxConditions &&
+                conditions.size + conditionsNeeded < store.maxConditions &&
                 bytes < MAX_BYTES
 
         fun put(key: String, data: JsonElement) {
@@ -81,6 +81,13 @@
     private val condemning = LinkedHashSet<Machine>()
     private val absolving = LinkedHashSet<Machine>()
     private var inFlight = false
+
+    /**
+     * Every write replaces the tags and holds only while they are as last seen. Pages alone do not
+     * order two writes to different jobs: one that is applied late, after it was given up on, would
+     * add its placements to those made since, and together they could pass a team's cap.
+     */
+    var tagsStamp = 0L
     private var nextAt = Micros.LONG_AGO
 
     val ready: Boolean
@@ -126,8 +133,8 @@
         addLeftOver(draft)
         addAbsolved(draft)
         if (draft.changes.isEmpty()) return
-        if (cluster.tagsMoved) draft.put(FairQueue.KEY, cluster.queue.toJson(desk.wall))
-        cluster.tagsMoved = false
+        draft.conditions.add(Condition(FairQueue.KEY, tagsStamp))
+        draft.put(FairQueue.KEY, cluster.queue.toJson(desk.wall))
         inFlight = true
         store.multi(draft.conditions, draft.changes, Priority.LEADER) { settle(draft, it) }
         nextAt = desk.now + period
@@ -233,6 +240,7 @@
     }
 
     private fun committed(draft: Draft, stamp: Long) {
+        tagsStamp = stamp
         for (written in draft.pages) {
             if (written.removed) written.job.forgetPage(written.page)
             else written.job.written(written.page, stamp, written.done)
@@ -255,7 +263,7 @@
         if (Leadership.KEY in failed) return listener.fenced()
         val changed =
             (draft.pages.map { it.job } + draft.finishing).filter { JobRecord.key(it.id) in failed }
-        if (changed.isEmpty()) {
+        if (changed.isEmpty() || FairQueue.KEY in failed) {
             log.info("stored pages are not as they were last seen: {}", failed)
             return listener.lost()
         }
@@ -269,7 +277,6 @@
             if (!written.removed) written.job.soil(written.page)
             for (placement in written.planned) cluster.undo(placement)
         }
-        cluster.tagsMoved = true
     }
 
     companion object {
--- a/src/main/kotlin/wardmux/lead/Term.kt
+++ b/src/main/kotlin/wardmux/lead/Term.kt
@@ -26,6 +26,7 @@
 import wardmux.secs
 import wardmux.store.Event
 import wardmux.store.Item
+import wardmux.store.Priority
 import wardmux.store.Result
 import wardmux.store.StateStore
 
@@ -153,16 +154,28 @@
         cluster.forgetJobs()
         val own = ++reading
         val again = { loadAt = desk.now + LOAD_RETRY }
-        store.scan(JobRecord.OPEN_PREFIX) { open ->
-            if (stale(own)) return@scan
-            if (open == null) return@scan again()
-            store.scan(Job.PAGES) { pages ->
+        // The tags first: a write that is applied from here on makes the next one fail.
+        store.get(FairQueue.KEY, Priority.LEADER) { tags ->
+            if (stale(own)) return@get
+            when (tags) {
+                is Result.Ok -> {
+                    queue.load(tags.value.data)
+                    ledger.tagsStamp = tags.value.stamp
+                }
+                is Result.Absent -> ledger.tagsStamp = 0
+                else -> return@get again()
+            }
+            store.scan(JobRecord.OPEN_PREFIX) { open ->
                 if (stale(own)) return@scan
-                if (pages == null) return@scan again()
-                store.scan(Ledger.MACHINES) { condemned ->
+                if (open == null) return@scan again()
+                store.scan(Job.PAGES) { pages ->
                     if (stale(own)) return@scan
-                    if (condemned == null) return@scan again()
-                    loadTags(own, open, pages.items, condemned.items)
+                    if (pages == null) return@scan again()
+                    store.scan(Ledger.MACHINES) { condemned ->
+                        if (stale(own)) return@scan
+                        if (condemned == null) return@scan again()
+                        loadJobs(own, open, pages.items, condemned.items)
+                    }
                 }
             }
         }
@@ -170,33 +183,22 @@
 
     private fun stale(own: Int) = over || own != reading
 
-    private fun loadTags(
+    private fun loadJobs(
         own: Int,
         open: StateStore.Scan,
         pages: List<Item>,
         condemned: List<Item>,
     ) {
-        store.get(FairQueue.KEY, wardmux.store.Priority.LEADER) { tags ->
-            if (stale(own)) return@get
-            when (tags) {
-                is Result.Ok -> queue.load(tags.value.data)
-                is Result.Absent -> Unit
-                else -> {
-                    loadAt = desk.now + LOAD_RETRY
-                    return@get
-                }
-            }
-            for (item in open.items) addJob(JobRecord.of(item.data), Stamp(item.stamp))
-            val byJob = pages.groupBy { it.key.removePrefix(Job.PAGES).substringBefore('/') }
-            val missing = byJob.keys.map { JobId(it) }.filter { it !in cluster.jobs }
-            loadOver(own, missing) { finishLoad(open.epoch, byJob, condemned) }
-        }
+        for (item in open.items) addJob(JobRecord.of(item.data), Stamp(item.stamp))
+        val byJob = pages.groupBy { it.key.removePrefix(Job.PAGES).substringBefore('/') }
+        val missing = byJob.keys.map { JobId(it) }.filter { it !in cluster.jobs }
+        loadOver(own, missing) { finishLoad(open.epoch, byJob, condemned) }
     }
 
     /** Jobs that are over, but of which pages are left: their tasks may still be somewhere. */
     private fun loadOver(own: Int, missing: List<JobId>, then: () -> Unit) {
         val id = missing.firstOrNull() ?: return then()
-        store.get(JobRecord.key(id), wardmux.store.Priority.LEADER) { result ->
+        store.get(JobRecord.key(id), Priority.LEADER) { result ->
             if (stale(own)) return@get
             if (result !is Result.Ok) {
                 loadAt = desk.now + LOAD_RETRY
