--- a/src/main/kotlin/wardmux/dispatch/Job.kt
+++ b/src/main/kotlin/wardmux/dispatch/Job.kt
@@ -233,6 +233,7 @@
                     Micros(saved.at),
                 )
             placement.committed = true
+            placement.restored = true
             placements.put(saved.task, placement)
             attempts.put(saved.task, saved.attempt)
             placement
--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -138,7 +138,7 @@
         val shown = report.tasks.mapTo(HashSet()) { it.task to it.attempt }
         for (placement in machine.placements.values.toList()) {
             val name = placement.task.toString() to placement.attempt
-            val leaving = placement.halting || placement.job.over
+            val leaving = placement.halting || placement.job.over || placement.restored
             if (!leaving || !placement.committed || name in shown) continue
             if (placement.task to placement.attempt in machine.loose) continue
             cluster.release(placement, "not on the machine")
@@ -234,6 +234,7 @@
 
     private fun startable(machine: Machine, placement: Placement) =
         placement.committed &&
+            !placement.restored &&
             placement.shift == machine.shift &&
             !placement.halting &&
             !placement.job.over
--- a/src/main/kotlin/wardmux/fleet/Placement.kt
+++ b/src/main/kotlin/wardmux/fleet/Placement.kt
@@ -22,6 +22,12 @@
     /** Written, so the start may go out. */
     var committed = false
 
+    /**
+     * Read from a record. It may have been released since that was written, and its room and cap
+     * given to others, so it is never started again: it is found on its machine or given up.
+     */
+    var restored = false
+
     /** What the machine last reported of it, or null. */
     var status: TaskStatus? = null
     var runningSince: Micros? = null
