--- /dev/null
+++ b/src/test/kotlin/wardmux/dispatch/JobPageTest.kt
@@ -0,0 +1,44 @@
+package wardmux.dispatch
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import wardmux.MachineId
+import wardmux.Micros
+import wardmux.Stamp
+import wardmux.TaskId
+import wardmux.fleet.Placement
+import wardmux.intake.Submission
+import wardmux.intake.SubmissionReader
+import wardmux.intake.submission
+
+class JobPageTest {
+    @Test
+    fun `the fullest page of the largest job fits a value, on small and large limits`() {
+        val read = SubmissionReader.read(submission()) as Submission.Good
+        val spec = read.spec.copy(tasks = SubmissionReader.MAX_TASKS)
+        for (limit in listOf(8 * 1024, 16 * 1024)) {
+            val size = Job.pageSize(limit)
+            val job = Job(spec, Stamp(1), Micros.ZERO, size)
+            val last = (spec.tasks - 1) / size
+            for (task in last * size until spec.tasks) job.place(widest(job, task))
+            for (task in 0 until size) job.place(widest(job, task))
+            for (page in listOf(0, last)) {
+                assertTrue(job.page(page).toString().length <= limit, "page $page of $size tasks")
+            }
+            assertEquals(size, Job(spec, Stamp(1), Micros.ZERO, size).load(0, 1, job.page(0)).size)
+        }
+    }
+
+    private fun widest(job: Job, task: Int) =
+        Placement(
+            job,
+            TaskId(job.id, task),
+            1_000_000,
+            MachineId("i-00000000"),
+            1_000_000,
+            "a-zone-of-some-length",
+            Charge(Cost(999_999_999_999), 1234.567),
+            Micros(1_800_000_000_000_000),
+        )
+}
