One rule for a task's zone; state that nothing reads is gone

Choosing a machine and hiring one held the same zone rule twice; the machines' first-heard and listed-as-up marks were written and never read.

--- a/src/main/kotlin/wardmux/cloud/Hiring.kt
+++ b/src/main/kotlin/wardmux/cloud/Hiring.kt
@@ -93,7 +93,7 @@
                 cluster.clear(machine, "listed as failed")
                 condemn(machine, "failed")
             }
-            "running" -> machine.listedRunning = true
+            "running" -> Unit
             else -> {
                 val patience = machine.type.bootS * BOOT_PATIENCE
                 if (!machine.up && entry.heldS > patience) condemn(machine, "does not come up")
--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -168,15 +168,14 @@
 
     private fun choose(job: Job, pass: Pass): Machine? {
         val spec = job.spec
-        val zones = if (spec.oneZone || spec.spread) zonesOf(job) else emptyMap()
+        val zones = zonesOf(job)
         var best: Machine? = null
         var bestScore = Double.MAX_VALUE
         for (machine in pass.machines) {
             if (!allowed(spec, machine) || !machine.fits(spec)) continue
             if (pass.exact && !exactFor(spec, machine.type)) continue
             if (machine.id in job.failedOn && pass.machines.size > job.failedOn.size) continue
-            if (spec.oneZone && zones.isNotEmpty() && machine.zone !in zones) continue
-            if (spec.spread && (zones[machine.zone] ?: 0) >= spec.zoneLimit) continue
+            if (!mayGoTo(machine.zone, spec, zones)) continue
             val score = score(spec, machine)
             if (score < bestScore) {
                 best = machine
@@ -191,7 +190,11 @@
         val spec = job.spec
         if (!type.allowedFor(spec) || (spot && !spec.spot)) return false
         if (spec.zone != null && spec.zone != zone) return false
-        val zones = if (spec.oneZone || spec.spread) zonesOf(job) else return true
+        return mayGoTo(zone, spec, zonesOf(job))
+    }
+
+    /** Whether one more task may be in a zone, with the job's others in [zones]. */
+    private fun mayGoTo(zone: String, spec: JobSpec, zones: Map<String, Int>): Boolean {
         if (spec.oneZone && zones.isNotEmpty() && zone !in zones) return false
         return !spec.spread || (zones[zone] ?: 0) < spec.zoneLimit
     }
@@ -199,8 +202,9 @@
     /** Jobs that wait for room although their team may use more. */
     fun shortOfRoom(): List<Job> = cluster.jobs.values.filter { isShortOfRoom(it) }
 
-    /** Where the job's tasks are or may be, with how many. */
+    /** Where the tasks of a job that is bound to zones are or may be, with how many. */
     private fun zonesOf(job: Job): Map<String, Int> {
+        if (!job.spec.oneZone && !job.spec.spread) return emptyMap()
         val zones = HashMap<String, Int>()
         for (placement in job.placements.values) {
             zones.merge(placement.zone, 1, Int::plus)
--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -47,7 +47,7 @@
             return it
         }
         val type = types.byLabel(typeLabel) ?: return null
-        val machine = Machine(id, type, zone, spot, desk.now)
+        val machine = Machine(id, type, zone, spot)
         machine.idleSince = desk.now
         cluster.machines[id] = machine
         // What the records say of it was read before it was heard of.
--- a/src/main/kotlin/wardmux/fleet/Machine.kt
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -8,14 +8,7 @@
 import wardmux.secs
 
 /** A machine as the leader knows it. */
-class Machine(
-    val id: MachineId,
-    val type: MachineType,
-    val zone: String,
-    val spot: Boolean,
-    /** When this controller first heard of it. */
-    val knownSince: Micros,
-) {
+class Machine(val id: MachineId, val type: MachineType, val zone: String, val spot: Boolean) {
     var shift = 0L
     var tick = -1L
 
@@ -48,8 +41,6 @@
     var condemnedWhy = ""
     var deleting = false
 
-    /** The cloud lists it as up. */
-    var listedRunning = false
     var idleSince = Micros.ZERO
     var pausedUntil = Micros.LONG_AGO
 
