--- a/src/main/kotlin/wardmux/app/Controller.kt
+++ b/src/main/kotlin/wardmux/app/Controller.kt
@@ -31,7 +31,8 @@
 class Controller(
     private val platform: PlatformSettings,
     private val operators: OperatorSettings,
-    seed: Long,
+    /** Tells this process from every other, a former one of the same member above all. */
+    boot: String,
 ) {
     private val log = logger<Controller>()
     private val desk = Desk()
@@ -46,7 +47,7 @@
             desk,
             store,
             platform.member,
-            boot = seed,
+            boot = boot,
             life = operators.leaderLeaseS.secs,
             listener =
                 object : Leadership.Listener {
@@ -94,11 +95,11 @@
 
     private fun tick() {
         leadership.tick()
+        intake.tick()
         types.tick(leading = term != null)
-        val current = term ?: return
-        current.tick()
-        val role = leadership.role as? Role.Leader ?: return
-        peers.lead(role.token, current::progress)
+        term?.tick()
+        val role = leadership.role as? Role.Leader
+        peers.tick(role?.token, store.answeredAt) { term?.progress().orEmpty() }
     }
 
     private fun call(call: Input.Call) {
@@ -134,9 +135,13 @@
         else desk.answer(call.id, 404, """{"error":"unknown job"}""")
     }
 
-    /** Ready once jobs can be decided on; in an outage users are told when to come back. */
+    /**
+     * Ready once jobs can be decided on. In an outage users are told when to come back; but where
+     * it is this controller alone that the state service doesn't answer, the others serve them.
+     */
     private fun ready(call: Long) {
-        if (types.types != null) desk.answer(call, 200, """{"ready":true}""")
+        val alone = desk.now - store.answeredAt > ALONE_AFTER && peers.othersFareBetter(ALONE_AFTER)
+        if (types.types != null && !alone) desk.answer(call, 200, """{"ready":true}""")
         else desk.answer(call, 503, """{"ready":false}""", 1)
     }
 
@@ -152,20 +157,20 @@
         leadership.seen(Token(report.token))
         val current = term
         if (current != null) return current.hello(call.id, report)
-        val leader = (leadership.role as? Role.Follower)?.leader
-        if (leader == null || leader == platform.member) {
-            desk.answer(call.id, 503)
-        } else {
-            val body = lenientJson.encodeToString(Redirect.serializer(), Redirect(leader))
-            desk.answer(call.id, 421, body)
-        }
+        val leader = leadership.leaderToName ?: return desk.answer(call.id, 421)
+        val body = lenientJson.encodeToString(Redirect.serializer(), Redirect(leader))
+        desk.answer(call.id, 421, body)
     }
 
     private fun peerCall(call: Input.Call, path: String) {
         val beat = if (path == Peers.PATH) BeatCodec.decode(call.body) else null
-        if (beat == null) return desk.answer(call.id, 400)
-        leadership.heard(beat.member, Token(beat.token))
-        if (term == null) peers.received(beat)
+        if (beat == null || !peers.knows(beat.member)) return desk.answer(call.id, 400)
+        peers.received(beat)
+        beat.token?.let { leadership.heard(beat.member, Token(it)) }
         desk.answer(call.id, 200)
     }
+
+    private companion object {
+        val ALONE_AFTER = 3.secs
+    }
 }
--- a/src/main/kotlin/wardmux/app/Daemon.kt
+++ b/src/main/kotlin/wardmux/app/Daemon.kt
@@ -2,6 +2,7 @@
 
 import io.netty.channel.nio.NioEventLoopGroup
 import java.net.InetSocketAddress
+import java.util.UUID
 import java.util.concurrent.TimeUnit
 import wardmux.Effect
 import wardmux.Input
@@ -17,8 +18,7 @@
 class Daemon(private val platform: PlatformSettings, private val operators: OperatorSettings) {
     private val log = logger<Daemon>()
     private val group = NioEventLoopGroup(1)
-    private val seed = if (operators.seed != 0L) operators.seed else System.nanoTime()
-    private val core = Controller(platform, operators, seed)
+    private val core = Controller(platform, operators, boot())
     private val limit = platform.facts.limits.fdLimit
     private val server =
         HttpServer(group, limit - RESERVED_SOCKETS.coerceAtMost(limit / 2), IDLE_SECONDS) { arrival
@@ -62,6 +62,15 @@
         api.closeFuture().sync()
     }
 
+    /**
+     * Two processes may start at the same reading of a clock, or with the same random numbers; not
+     * with all of these alike.
+     */
+    private fun boot(): String {
+        val wall = System.currentTimeMillis()
+        return "$wall-${System.nanoTime()}-${ProcessHandle.current().pid()}-${UUID.randomUUID()}"
+    }
+
     private fun bind(text: String, port: Port) =
         server.listen(requireNotNull(SettingsFiles.address(text)) as InetSocketAddress, port)
 
--- a/src/main/kotlin/wardmux/app/OperatorSettings.kt
+++ b/src/main/kotlin/wardmux/app/OperatorSettings.kt
@@ -30,8 +30,8 @@
     @SerialName("call_back_after_s") val callBackAfterS: Double = 10.0,
     /** How long a kind of machine that was refused is left alone. */
     @SerialName("refused_pause_s") val refusedPauseS: Double = 15.0,
-    /** Seed of the random numbers; 0 takes one from the machine. */
-    @SerialName("seed") val seed: Long = 0,
+    /** Wait after which a job that has not begun goes before all others of its team. */
+    @SerialName("longest_wait_s") val longestWaitS: Double = 120.0,
 ) {
     /** What is wrong, in one line that names the field, or null. */
     fun problem(): String? =
@@ -48,6 +48,7 @@
                 range("preempt_after_s", preemptAfterS, 0.0, 3600.0),
                 range("call_back_after_s", callBackAfterS, 0.0, 3600.0),
                 range("refused_pause_s", refusedPauseS, 0.5, 3600.0),
+                range("longest_wait_s", longestWaitS, 1.0, 86400.0),
             )
             .firstOrNull { it != null }
 
--- a/src/main/kotlin/wardmux/cloud/Hiring.kt
+++ b/src/main/kotlin/wardmux/cloud/Hiring.kt
@@ -86,6 +86,7 @@
         if (id in fleet.gone) return
         val known = cluster.machines[id]
         val machine = known ?: fleet.machine(id, entry.type, entry.zone, entry.spot) ?: return
+        machine.rumour = false
         if (known == null) log.info("{} is listed as {} and was not known", id, entry.status)
         when (entry.status) {
             "failed" -> {
@@ -115,11 +116,6 @@
     private fun deleted(machine: Machine) {
         log.info("{} is deleted: {}", machine.id, machine.condemnedWhy)
         cluster.clear(machine, "deleted")
-        for (job in cluster.jobs.values) {
-            for (placement in job.placements.values.filter { it.machine == machine.id }) {
-                cluster.release(placement, "deleted")
-            }
-        }
         cluster.machines.remove(machine.id)
         fleet.gone.add(machine.id)
         absolveAt.addLast(desk.now + RECORD_KEPT to machine)
@@ -138,7 +134,7 @@
             val wanted = smooth(type.label, inUse + spare + (soon[type.label] ?: 0.0), SLOWLY)
             val pressing = smooth(type.label + "!", inUse + (patient[type.label] ?: 0.0), QUICKLY)
             val have =
-                own.count { it.recalledAt == null } +
+                own.count { it.recalledAt == null && !it.rumour } +
                     hiring.values.filter { it.type == type.label }.sumOf { it.count }
             val missing = (wanted - have + ROUNDING).toInt()
             if (missing > 0 && !hire(type, missing, spot = true)) {
--- a/src/main/kotlin/wardmux/cloud/MachineType.kt
+++ b/src/main/kotlin/wardmux/cloud/MachineType.kt
@@ -47,7 +47,12 @@
         fun toJson(types: List<MachineType>): JsonElement =
             lenientJson.encodeToJsonElement(list, types)
 
-        fun listOf(json: JsonElement): List<MachineType> =
-            lenientJson.decodeFromJsonElement(list, json)
+        /** Null if what is stored is no list of types. */
+        fun listOf(json: JsonElement): List<MachineType>? =
+            try {
+                lenientJson.decodeFromJsonElement(list, json)
+            } catch (e: IllegalArgumentException) {
+                null
+            }
     }
 }
--- a/src/main/kotlin/wardmux/cloud/TypeBook.kt
+++ b/src/main/kotlin/wardmux/cloud/TypeBook.kt
@@ -36,8 +36,9 @@
 
     private fun readStored() {
         store.get(MachineType.KEY) { result ->
-            if (result is Result.Ok) {
-                types = MachineType.listOf(result.value.data)
+            val stored = if (result is Result.Ok) MachineType.listOf(result.value.data) else null
+            if (stored != null) {
+                types = stored
                 again(REFRESH)
             } else {
                 askCloud()
--- a/src/main/kotlin/wardmux/dispatch/Cluster.kt
+++ b/src/main/kotlin/wardmux/dispatch/Cluster.kt
@@ -24,6 +24,17 @@
     val jobs = LinkedHashMap<JobId, Job>()
     val machines = LinkedHashMap<MachineId, Machine>()
     val estimates = Estimates()
+
+    /** Read from records, on machines that have not been heard of yet. */
+    private val unplaced = HashMap<MachineId, LinkedHashSet<Placement>>()
+
+    /** Machines that may have orders to be sent to them directly. */
+    val due = LinkedHashSet<Machine>()
+
+    /** Counts what may let a waiting task start; a plan that found nothing is not made again. */
+    var changes = 0L
+        private set
+
     private val cpus = Object2DoubleOpenHashMap<String>()
     private val gpus = Object2DoubleOpenHashMap<String>()
 
@@ -60,9 +71,8 @@
                 machine.shift,
                 machine.zone,
                 charge,
-                desk.wall,
             )
-        job.place(placement)
+        job.place(placement, desk.wall)
         restore(placement, machine)
         machine.useImage(job.spec.image, job.spec.imageGb, desk.now)
         return placement
@@ -70,10 +80,36 @@
 
     /** A placement read from a record. */
     fun restore(placement: Placement, machine: Machine?) {
-        machine?.add(placement)
+        if (machine != null) {
+            machine.add(placement)
+            due.add(machine)
+        } else {
+            unplaced.getOrPut(placement.machine) { LinkedHashSet() }.add(placement)
+        }
         book(placement.job.spec, 1)
     }
 
+    /** A machine is heard of; what the records say of it was read before. */
+    fun add(machine: Machine) {
+        machines[machine.id] = machine
+        unplaced.remove(machine.id)?.forEach { machine.add(it) }
+        changed()
+    }
+
+    /** Machines that records name and that nothing else has told of. */
+    fun unheardOf(): Set<MachineId> = unplaced.keys
+
+    /** Something happened that may let a waiting task start. */
+    fun changed() {
+        changes++
+    }
+
+    /** Nothing of the job is to go on: what is left of it is taken down. */
+    fun end(job: Job) {
+        job.over = true
+        for (placement in job.placements.values) machines[placement.machine]?.let { due.add(it) }
+    }
+
     /** The placement is proven gone from its machine. */
     fun release(placement: Placement, why: String) {
         if (placement.job.placements.get(placement.task.index) !== placement) return
@@ -85,7 +121,8 @@
             why,
         )
         unbook(placement)
-        placement.job.release(placement)
+        placement.job.release(placement, desk.wall)
+        changed()
     }
 
     /** The placement's record was surely not written. */
@@ -93,12 +130,13 @@
         if (placement.job.placements.get(placement.task.index) !== placement) return
         unbook(placement)
         queue.undo(placement.job.spec.team, placement.charge, desk.wall)
-        placement.job.undo(placement)
+        placement.job.undo(placement, desk.wall)
+        changed()
     }
 
     private fun unbook(placement: Placement) {
         val machine = machines[placement.machine]
-        machine?.remove(placement, desk.now)
+        if (machine != null) machine.remove(placement, desk.now) else forgetUnplaced(placement)
         val image = placement.job.spec.image
         if (placement.runningSince == null && machine?.needs(image) == false) {
             machine.fetchGivenUp(image, desk.now)
@@ -106,6 +144,12 @@
         book(placement.job.spec, -1)
     }
 
+    private fun forgetUnplaced(placement: Placement) {
+        val there = unplaced[placement.machine] ?: return
+        there.remove(placement)
+        if (there.isEmpty()) unplaced.remove(placement.machine)
+    }
+
     /** The task has completed; its team's tag is corrected by what it really cost. */
     fun complete(placement: Placement) {
         val job = placement.job
@@ -115,7 +159,7 @@
             estimates.learn(job.spec, ran)
             queue.correct(job.spec.team, placement.charge, cost(job.spec, ran), desk.wall)
         }
-        job.complete(placement.task.index)
+        job.complete(placement.task.index, desk.wall)
         release(placement, "done")
     }
 
@@ -126,9 +170,11 @@
     }
 
     fun setStrays(machine: Machine, strays: List<JobSpec>) {
+        if (machine.strays.isEmpty() && strays.isEmpty()) return
         for (spec in machine.strays) book(spec, -1)
         machine.strays = strays
         for (spec in strays) book(spec, 1)
+        changed()
     }
 
     /** Before everything is read again. */
@@ -141,6 +187,8 @@
             )
         }
         jobs.clear()
+        unplaced.clear()
+        due.clear()
         cpus.clear()
         gpus.clear()
     }
--- a/src/main/kotlin/wardmux/dispatch/FairQueue.kt
+++ b/src/main/kotlin/wardmux/dispatch/FairQueue.kt
@@ -1,10 +1,13 @@
 package wardmux.dispatch
 
+import kotlin.math.floor
+import kotlin.math.log10
 import kotlin.math.pow
 import kotlin.math.roundToLong
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.JsonElement
 import wardmux.Micros
+import wardmux.logger
 import wardmux.store.lenientJson
 
 /** CPU-microseconds: the largest booked share in CPUs, times the run time. */
@@ -55,7 +58,14 @@
 
     fun weight(team: String, wall: Micros): Double {
         val norm = normSeconds * 1e6 * base(team)
-        return (base(team) * 2.0.pow(-account(team, wall).usage / norm)).coerceAtLeast(MIN_WEIGHT)
+        val weight = base(team) * 2.0.pow(-account(team, wall).usage / norm)
+        return threeDigits(weight.coerceAtLeast(MIN_WEIGHT))
+    }
+
+    /** Rounded, so that tasks placed together are charged alike and their record says it once. */
+    private fun threeDigits(value: Double): Double {
+        val unit = 10.0.pow(2 - floor(log10(value)))
+        return (value * unit).roundToLong() / unit
     }
 
     fun startTag(team: String): Long = maxOf(clock, accounts[team]?.finishTag ?: 0L)
@@ -101,7 +111,13 @@
     }
 
     fun load(json: JsonElement) {
-        val wire = lenientJson.decodeFromJsonElement(TagsWire.serializer(), json)
+        val wire =
+            try {
+                lenientJson.decodeFromJsonElement(TagsWire.serializer(), json)
+            } catch (e: IllegalArgumentException) {
+                logger<FairQueue>().error("the stored tags can't be read: {}", e.message)
+                TagsWire(clock, 0, emptyMap())
+            }
         clock = wire.clock
         accounts.clear()
         for ((team, saved) in wire.teams) {
--- a/src/main/kotlin/wardmux/dispatch/Job.kt
+++ b/src/main/kotlin/wardmux/dispatch/Job.kt
@@ -6,38 +6,23 @@
 import it.unimi.dsi.fastutil.ints.IntArrayFIFOQueue
 import it.unimi.dsi.fastutil.ints.IntOpenHashSet
 import java.util.BitSet
-import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.JsonElement
 import wardmux.JobId
 import wardmux.MachineId
 import wardmux.Micros
 import wardmux.Stamp
-import wardmux.TaskId
 import wardmux.fleet.Placement
 import wardmux.intake.JobSpec
-import wardmux.store.lenientJson
-
-@Serializable
-data class PlacementWire(
-    val task: Int,
-    val attempt: Int,
-    val machine: String,
-    val shift: Long,
-    val zone: String,
-    val cost: Long,
-    val weight: Double,
-    val at: Long,
-)
-
-/** A stretch of a job's tasks, as it is kept: done tasks as runs, placements, last attempts. */
-@Serializable
-class PageWire(
-    /** First and last of each run of done tasks. */
-    val d: List<Int> = emptyList(),
-    /** Five numbers a placement beside its machine: see [Job.page]. */
-    val p: List<PlacementWire> = emptyList(),
-    /** Task and last attempt, for those that are neither done nor placed. */
-    val a: List<Int> = emptyList(),
+import wardmux.logger
+
+/** What a task asks of its machine. */
+data class Need(
+    val cpus: Double,
+    val gpus: Double,
+    val memoryGb: Double,
+    val types: List<String>?,
+    val zone: String?,
+    val spot: Boolean,
 )
 
 /**
@@ -46,6 +31,14 @@
  */
 class Job(val spec: JobSpec, val stamp: Stamp, val acceptedAt: Micros, val pageSize: Int) {
     val id: JobId = spec.jobId
+
+    /** Jobs with the same need find the same machines. */
+    val need = Need(spec.cpus, spec.gpus, spec.memoryGb, spec.types, spec.zone, spec.spot)
+
+    /** Where its tasks may go depends on where its others are. */
+    val zoned: Boolean
+        get() = spec.oneZone || spec.spread
+
     val placements = Int2ObjectOpenHashMap<Placement>()
     private val done = BitSet()
     private val recorded = BitSet()
@@ -55,6 +48,17 @@
     private val pageStamps = Int2LongOpenHashMap()
     private val dirty = IntOpenHashSet()
 
+    /** Placements of each page that no write holds yet. */
+    private val planned = Int2IntOpenHashMap()
+
+    /** Since when a page differs from what is stored of it in no more than how its tasks ended. */
+    var dirtySince: Micros? = null
+        private set
+
+    /** Tasks that were reported as running, for display. */
+    val running: Int
+        get() = placements.values.count { it.runningSince != null }
+
     /** Cancelled or done: nothing starts any more, and what is left is taken down. */
     var over = false
 
@@ -84,6 +88,10 @@
     val atFault: Boolean
         get() = failedOn.size >= FAULTY_MACHINES
 
+    /** A task of it was started once. */
+    val begun: Boolean
+        get() = !placements.isEmpty() || !attempts.isEmpty()
+
     fun isDone(task: Int) = done.get(task)
 
     fun isRecorded(task: Int) = finished || recorded.get(task)
@@ -107,44 +115,56 @@
 
     fun nextAttempt(task: Int) = attempts.get(task) + 1
 
-    fun place(placement: Placement) {
+    fun place(placement: Placement, wall: Micros) {
         placements.put(placement.task.index, placement)
         attempts.put(placement.task.index, placement.attempt)
-        touch(placement.task.index)
+        planned.addTo(placement.task.index / pageSize, 1)
+        touch(placement.task.index, wall)
+    }
+
+    /** Its record is written. */
+    fun commit(placement: Placement) {
+        if (placement.committed) return
+        placement.committed = true
+        val task = placement.task.index
+        if (placements.get(task) === placement) planned.addTo(task / pageSize, -1)
     }
 
     /** Proven gone; the task waits again unless it is done. */
-    fun release(placement: Placement) {
+    fun release(placement: Placement, wall: Micros) {
         val task = placement.task.index
         if (placements.get(task) !== placement) return
         placements.remove(task)
-        touch(task)
+        if (!placement.committed) planned.addTo(task / pageSize, -1)
+        touch(task, wall)
         if (!done.get(task)) cameBack.enqueue(task)
     }
 
     /** The placement was never written, so its attempt number is free again. */
-    fun undo(placement: Placement) {
+    fun undo(placement: Placement, wall: Micros) {
         attempts.put(placement.task.index, placement.attempt - 1)
-        release(placement)
+        release(placement, wall)
     }
 
-    fun complete(task: Int) {
+    fun complete(task: Int, wall: Micros) {
         if (done.get(task)) return
         done.set(task)
-        touch(task)
+        touch(task, wall)
     }
 
-    private fun touch(task: Int) {
+    private fun touch(task: Int, wall: Micros) {
         dirty.add(task / pageSize)
+        if (dirtySince == null) dirtySince = wall
     }
 
-    fun dirtyPages(): IntArray = dirty.toIntArray().also { it.sort() }
+    fun dirtyPages(): IntArray =
+        if (dirty.isEmpty()) NO_PAGES else dirty.toIntArray().also { it.sort() }
 
     fun storedPages(): IntArray = pageStamps.keys.toIntArray().also { it.sort() }
 
     fun pageStamp(page: Int): Long = pageStamps.get(page)
 
-    fun hasPlanned(page: Int): Boolean = placementsOf(page).any { !it.committed }
+    fun hasPlanned(page: Int): Boolean = planned.get(page) > 0
 
     fun placementsOf(page: Int): List<Placement> {
         val from = page * pageSize
@@ -167,7 +187,6 @@
             runs.add(end - 1)
             start = done.nextSetBit(end)
         }
-        val placed = placementsOf(page).map { it.toWire() }
         val tried = ArrayList<Int>()
         for (task in from until to) {
             if (free(task) && attempts.get(task) > 0) {
@@ -175,7 +194,7 @@
                 tried.add(attempts.get(task))
             }
         }
-        return lenientJson.encodeToJsonElement(PageWire.serializer(), PageWire(runs, placed, tried))
+        return StoredPage.of(runs, placementsOf(page), tried)
     }
 
     /** The page as it was at [doneThen] is stored now. */
@@ -197,69 +216,55 @@
 
     fun clean(page: Int) {
         dirty.remove(page)
+        if (dirty.isEmpty()) dirtySince = null
     }
 
-    fun soil(page: Int) {
+    fun soil(page: Int, wall: Micros) {
         dirty.add(page)
+        if (dirtySince == null) dirtySince = wall
     }
 
     fun forgetPage(page: Int) {
         pageStamps.remove(page)
-        dirty.remove(page)
+        clean(page)
     }
 
     /** At take-over: what a stored page says. */
     fun load(page: Int, stamp: Long, json: JsonElement): List<Placement> {
-        val wire = lenientJson.decodeFromJsonElement(PageWire.serializer(), json)
         pageStamps.put(page, stamp)
-        for (i in wire.d.indices step 2) {
-            done.set(wire.d[i], wire.d[i + 1] + 1)
-            recorded.set(wire.d[i], wire.d[i + 1] + 1)
+        val (stored, placed) =
+            StoredPage.read(json, this)
+                ?: return emptyList<Placement>().also {
+                    logger<Job>().error("page {} of {} can't be read", page, id)
+                }
+        for (i in stored.done.indices step 2) {
+            done.set(stored.done[i], stored.done[i + 1] + 1)
+            recorded.set(stored.done[i], stored.done[i + 1] + 1)
         }
-        for (i in wire.a.indices step 2) {
-            attempts.put(wire.a[i], wire.a[i + 1])
-            cameBack.enqueue(wire.a[i])
+        for (i in stored.tried.indices step 2) {
+            attempts.put(stored.tried[i], stored.tried[i + 1])
+            cameBack.enqueue(stored.tried[i])
         }
-        return wire.p.map { saved ->
-            val placement =
-                Placement(
-                    this,
-                    TaskId(id, saved.task),
-                    saved.attempt,
-                    MachineId(saved.machine),
-                    saved.shift,
-                    saved.zone,
-                    Charge(Cost(saved.cost), saved.weight),
-                    Micros(saved.at),
-                )
+        return placed.onEach { placement ->
             placement.committed = true
             placement.restored = true
-            placements.put(saved.task, placement)
-            attempts.put(saved.task, saved.attempt)
-            placement
+            placements.put(placement.task.index, placement)
+            attempts.put(placement.task.index, placement.attempt)
         }
     }
 
-    private fun Placement.toWire() =
-        PlacementWire(
-            task.index,
-            attempt,
-            machine.value,
-            shift,
-            zone,
-            charge.cost.value,
-            Math.round(charge.weight * 1e3) / 1e3,
-            placedAt.value,
-        )
-
     companion object {
         const val FAULTY_MACHINES = 2
 
         /** Keeps the pages of all jobs; a page's key is `t/<job>/<page>`. */
         const val PAGES = "t/"
 
-        /** A placement's record takes at most about this much, so that a page fits a value. */
-        private const val BYTES_A_TASK = 200
+        /**
+         * A placement's record takes at most about this much, on a machine of its own and charged
+         * unlike all others, so that a page fits a value. As a rule it takes a quarter of that.
+         */
+        private const val BYTES_A_TASK = 64
+        private val NO_PAGES = IntArray(0)
 
         fun pageKey(job: JobId, page: Int) = "$PAGES${job.value}/$page"
 
--- a/src/main/kotlin/wardmux/dispatch/Ledger.kt
+++ b/src/main/kotlin/wardmux/dispatch/Ledger.kt
@@ -1,9 +1,11 @@
 package wardmux.dispatch
 
+import it.unimi.dsi.fastutil.ints.IntOpenHashSet
 import java.util.BitSet
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonPrimitive
 import wardmux.Desk
+import wardmux.JobId
 import wardmux.Micros
 import wardmux.fleet.Machine
 import wardmux.fleet.Placement
@@ -20,6 +22,23 @@
 import wardmux.store.Result
 import wardmux.store.StateStore
 
+/** The pages that one write still takes, for the planner: what can't be written isn't placed. */
+class Admission(private var left: Int) {
+    private val pages = HashMap<JobId, IntOpenHashSet>()
+
+    /** True if no task of the job can be admitted, whichever it is, as none of its pages is. */
+    fun closedTo(job: Job) = left <= 0 && job.id !in pages
+
+    fun admits(job: Job, task: Int): Boolean {
+        val page = task / job.pageSize
+        val own = pages[job.id]
+        if (own != null && own.contains(page)) return true
+        if (left <= 0) return false
+        left--
+        return pages.getOrPut(job.id) { IntOpenHashSet() }.add(page)
+    }
+}
+
 /**
  * Writes what the leader decides, one transaction at a time. Each holds only while the leader key
  * is as this leader wrote it, and a page only while it is as it was last seen: a transaction that
@@ -106,23 +125,15 @@
     /**
      * Pages that one write may still take, for the planner: it places no more than can be written.
      */
-    fun admitter(): (Job, Int) -> Boolean {
+    fun admission(): Admission {
         // One change is kept for the tags.
-        var left = store.maxChanges - 1 - minOf(condemning.size, 1)
-        left -=
-            cluster.jobs.values.count { it.complete && !it.finished && !it.over }.coerceAtMost(2) *
-                2
-        val planned = HashSet<String>()
-        return { job, task ->
-            val key = Job.pageKey(job.id, task / job.pageSize)
-            when {
-                key in planned -> true
-                planned.size + 1 > left -> false
-                else -> planned.add(key)
-            }
-        }
+        val others = minOf(condemning.size, 1) + finishing().take(2).count() * 2
+        return Admission(store.maxChanges - 1 - others)
     }
 
+    private fun finishing() =
+        cluster.jobs.values.asSequence().filter { it.complete && !it.finished && !it.over }
+
     fun flush() {
         if (!ready) return
         val draft = Draft()
@@ -152,10 +163,8 @@
     }
 
     private fun addFinished(draft: Draft) {
-        for (job in cluster.jobs.values) {
-            if (!job.complete || job.finished || job.over) continue
-            val stored = job.storedPages()
-            if (!draft.room(2 + stored.size.coerceAtMost(2), 1)) return
+        for (job in finishing()) {
+            if (!draft.room(2, 1)) return
             draft.conditions.add(Condition(JobRecord.key(job.id), job.stamp.value))
             val record = JobRecord(JobState.DONE, job.acceptedAt.value)
             draft.put(JobRecord.key(job.id), record.toJson())
@@ -174,7 +183,8 @@
 
     private fun addDirty(draft: Draft) {
         for (job in cluster.jobs.values) {
-            if (job.over || job.complete) continue
+            val since = job.dirtySince ?: continue
+            if (job.over || job.complete || desk.wall - since < PATIENCE) continue
             for (page in job.dirtyPages()) {
                 if (job.hasPlanned(page)) continue
                 if (!draft.room(1, 1)) return
@@ -188,7 +198,8 @@
         for (job in cluster.jobs.values) {
             if (!job.over || job.placements.isNotEmpty()) continue
             for (page in job.storedPages()) {
-                if (!draft.room(1, 1)) return
+                // Nobody waits for it, so it never takes what a start or an end needs.
+                if (!draft.room(1, 1) || draft.changes.size >= store.writesToSpare) return
                 val key = Job.pageKey(job.id, page)
                 draft.conditions.add(Condition(key, job.pageStamp(page)))
                 draft.changes.add(Change(remove = key))
@@ -244,11 +255,11 @@
         for (written in draft.pages) {
             if (written.removed) written.job.forgetPage(written.page)
             else written.job.written(written.page, stamp, written.done)
-            for (placement in written.planned) placement.committed = true
+            for (placement in written.planned) written.job.commit(placement)
         }
         for (job in draft.finishing) {
             job.finished = true
-            job.over = true
+            cluster.end(job)
             listener.finished(job)
         }
         for (machine in draft.condemning) {
@@ -274,7 +285,7 @@
     /** Surely not written: planned placements are undone, the rest is tried again. */
     private fun takeBack(draft: Draft) {
         for (written in draft.pages) {
-            if (!written.removed) written.job.soil(written.page)
+            if (!written.removed) written.job.soil(written.page, desk.wall)
             for (placement in written.planned) cluster.undo(placement)
         }
     }
@@ -285,6 +296,12 @@
         /** Well below the 64 KiB that a transaction may hold. */
         private const val MAX_BYTES = 40_000
         private val REFUSED_PAUSE = 300.millis
+
+        /**
+         * How tasks ended is written for many at once: until then the machines keep it, and a later
+         * leader is told again.
+         */
+        private val PATIENCE = 3.secs
         private val INVALID_PAUSE = 5.secs
 
         fun machineKey(machine: Machine) = "$MACHINES${machine.id.value}"
--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -1,5 +1,6 @@
 package wardmux.dispatch
 
+import java.util.PriorityQueue
 import wardmux.Desk
 import wardmux.JobId
 import wardmux.Micros
@@ -21,8 +22,9 @@
  * urgent (they could stop the less urgent at once, so it is decided here and not by a start and a
  * stop); then the team with the lowest start tag; within a team, the order of submission.
  *
- * Tasks of one job are alike: once one of them finds no machine, none of them is tried again in
- * that pass, so a decision costs what it places plus one look for each class that waits.
+ * Tasks of one job are alike, and so are jobs that need the same: the machines are looked over once
+ * for all of them, and once one finds none, no other is tried in that pass. A decision costs what
+ * it places plus one look for each kind of work that waits.
  */
 class Planner(
     private val desk: Desk,
@@ -33,21 +35,30 @@
     private val types: () -> List<MachineType>,
 ) {
     private val log = logger<Planner>()
-    private val order = TeamOrder(objectives, cluster.estimates)
+    private val order = TeamOrder(objectives, cluster.estimates, operators.longestWaitS.secs)
 
-    /** Places what it can while [admits] has room for the job's page in the write to come. */
-    fun plan(admits: (Job, Int) -> Boolean) {
-        val machines = cluster.machines.values.filter { usable(it) }
+    /** Places what it can while [admission] has room for the job's page in the write to come. */
+    fun plan(admission: Admission) {
         val ready = cluster.jobs.values.filter { it.waiting > 0 && desk.wall >= it.notBefore }
         if (ready.isEmpty()) {
             if (cluster.jobs.values.all { it.placements.isEmpty() }) cluster.queue.idle()
             return
         }
-        val full = HashSet<JobId>()
+        val round = Round(cluster.machines.values.filter { usable(it) }, admission)
+        val scarce = cluster.jobs.values.any { isShortOfRoom(it) }
+        val queues =
+            ready
+                .groupBy { it.spec.urgency }
+                .mapValues { (_, jobs) ->
+                    jobs
+                        .groupBy { it.spec.team }
+                        .mapValues { (team, own) ->
+                            order.sort(own, counted(team, scarce), desk.wall)
+                        }
+                }
         for (exact in listOf(true, false)) {
             for (urgency in Urgency.entries) {
-                val jobs = ready.filter { it.spec.urgency == urgency && it.id !in full }
-                if (jobs.isNotEmpty()) place(jobs, Pass(machines, exact, full, admits))
+                queues[urgency]?.let { place(it, Pass(round, exact)) }
             }
         }
         for (job in ready) {
@@ -56,23 +67,84 @@
         }
     }
 
+    /** What one plan looks at: the machines with room, and what the write to come takes. */
+    private class Round(usable: List<Machine>, val admission: Admission) {
+        val usable = usable.size
+        val open = usable.filter { it.freeCpus > MachineType.EPSILON }
+    }
+
     /** One look over the machines, for exact fits or for any. */
-    private class Pass(
-        val machines: List<Machine>,
-        val exact: Boolean,
-        /** Jobs for whose pages the write to come has no room. */
-        val full: MutableSet<JobId>,
-        val admits: (Job, Int) -> Boolean,
-    )
+    private inner class Pass(val round: Round, val exact: Boolean) {
+        private val seats = HashMap<JobId, Seats>()
 
-    private fun place(jobs: List<Job>, pass: Pass) {
-        val scarce = cluster.jobs.values.any { isShortOfRoom(it) }
-        val byTeam =
-            jobs
-                .groupBy { it.spec.team }
-                .mapValues { (team, own) ->
-                    ArrayDeque(order.sort(own, counted(team, scarce), desk.wall))
+        /** What no machine has room for: room only shrinks within a plan. */
+        private val hopeless = HashSet<Need>()
+
+        fun seatsFor(job: Job): Seats? {
+            seats[job.id]?.let {
+                return it
+            }
+            if (job.need in hopeless) return null
+            val found = Seats(job, candidates(job))
+            if (found.isEmpty && job.failedOn.isEmpty() && !job.zoned) hopeless.add(job.need)
+            seats[job.id] = found
+            return found
+        }
+
+        private fun candidates(job: Job): List<Machine> {
+            val spec = job.spec
+            val exactType = if (exact) exactFor(spec) else null
+            return round.open.filter { machine ->
+                (!exact || machine.type.label == exactType) &&
+                    allowed(spec, machine) &&
+                    machine.fits(spec) &&
+                    (machine.id !in job.failedOn || round.usable <= job.failedOn.size)
+            }
+        }
+    }
+
+    /**
+     * The machines that a job's tasks may go to, the best first. They are looked over once for all
+     * its tasks; what others take meanwhile shows when a machine's turn comes.
+     */
+    private inner class Seats(private val job: Job, machines: List<Machine>) {
+        private inner class Seat(val machine: Machine, val score: Double)
+
+        private val queue =
+            PriorityQueue<Seat>(maxOf(1, machines.size), compareBy { it.score }).apply {
+                for (machine in machines) add(seat(machine))
+            }
+        val isEmpty: Boolean
+            get() = queue.isEmpty()
+
+        private fun seat(machine: Machine) = Seat(machine, score(job.spec, machine))
+
+        fun best(): Machine? {
+            val zones = zonesOf(job)
+            while (true) {
+                val seat = queue.peek() ?: return null
+                val machine = seat.machine
+                if (!machine.fits(job.spec) || !mayGoTo(machine.zone, job.spec, zones)) {
+                    queue.poll()
+                    continue
                 }
+                val now = seat(machine)
+                if (now.score <= seat.score + MachineType.EPSILON) return machine
+                queue.poll()
+                queue.add(now)
+            }
+        }
+
+        /** One more task of the job goes to the [best]; the next may go there too. */
+        fun taken(machine: Machine) {
+            queue.poll()
+            if (machine.fits(job.spec)) queue.add(seat(machine))
+        }
+    }
+
+    private fun place(sorted: Map<String, List<Job>>, pass: Pass) {
+        if (pass.round.open.isEmpty()) return
+        val byTeam = sorted.mapValues { ArrayDeque(it.value) }
         val teams = byTeam.keys.toMutableSet()
         while (teams.isNotEmpty()) {
             val team = teams.minWith(compareBy({ cluster.queue.startTag(it) }, { it }))
@@ -103,17 +175,24 @@
     private fun placeOne(job: Job, pass: Pass): Boolean {
         if (job.spec.shape == Shape.GANG) return placeGang(job, pass)
         if (job.waiting <= 0 || cluster.headroom(job.spec) < 1) return false
-        val machine = choose(job, pass) ?: return false
+        return placeNext(job, pass) != null
+    }
+
+    private fun placeNext(job: Job, pass: Pass): Placement? {
+        val admission = pass.round.admission
+        if (admission.closedTo(job)) return null
+        val seats = pass.seatsFor(job) ?: return null
+        val machine = seats.best() ?: return null
         val task = job.takeWaiting()
-        if (task < 0) return false
-        if (!pass.admits(job, task)) {
+        if (task < 0) return null
+        if (!admission.admits(job, task)) {
             job.putBack(task)
-            pass.full.add(job.id)
-            return false
+            return null
         }
         val placement = cluster.place(job, task, machine)
+        seats.taken(machine)
         log.debug("{} try {} goes to {}", placement.task, placement.attempt, machine.id)
-        return true
+        return placement
     }
 
     /**
@@ -130,61 +209,34 @@
         }
         if (cluster.headroom(job.spec) < job.waiting) return false
         val placed = ArrayList<Placement>()
-        while (job.waiting > 0) {
-            val machine = choose(job, pass) ?: break
-            val task = job.takeWaiting()
-            if (task < 0) break
-            if (!pass.admits(job, task)) {
-                job.putBack(task)
-                pass.full.add(job.id)
-                break
-            }
-            placed.add(cluster.place(job, task, machine))
-        }
+        while (job.waiting > 0) placed.add(placeNext(job, pass) ?: break)
         if (job.waiting == 0) return false
         for (placement in placed) cluster.undo(placement)
         return false
     }
 
-    private fun usable(machine: Machine): Boolean {
+    /** True if new tasks may go to the machine. */
+    fun usable(machine: Machine): Boolean {
         val heardAt = machine.heardAt ?: return false
         val quiet = (workers.reportS * operators.quietReports).secs
         return machine.confirmed &&
             !machine.condemned &&
             !machine.directBroken &&
             machine.recalledAt == null &&
+            !(machine.directBusy && desk.now - machine.directSince > UNANSWERED) &&
             desk.now - heardAt < quiet &&
             desk.now >= machine.pausedUntil
     }
 
-    /** True if this is the smallest machine type that a task like this fits. */
-    fun exactFor(spec: JobSpec, type: MachineType): Boolean =
-        types().filter { it.allowedFor(spec) }.minByOrNull { it.cpus }?.label == type.label
+    /** The smallest machine type that a task like this fits. */
+    private fun exactFor(spec: JobSpec): String? =
+        types().filter { it.allowedFor(spec) }.minByOrNull { it.cpus }?.label
 
-    private fun allowed(spec: JobSpec, machine: Machine): Boolean =
+    fun allowed(spec: JobSpec, machine: Machine): Boolean =
         (spec.spot || !machine.spot) &&
             (spec.types == null || machine.type.label in spec.types) &&
             (spec.zone == null || spec.zone == machine.zone)
 
-    private fun choose(job: Job, pass: Pass): Machine? {
-        val spec = job.spec
-        val zones = zonesOf(job)
-        var best: Machine? = null
-        var bestScore = Double.MAX_VALUE
-        for (machine in pass.machines) {
-            if (!allowed(spec, machine) || !machine.fits(spec)) continue
-            if (pass.exact && !exactFor(spec, machine.type)) continue
-            if (machine.id in job.failedOn && pass.machines.size > job.failedOn.size) continue
-            if (!mayGoTo(machine.zone, spec, zones)) continue
-            val score = score(spec, machine)
-            if (score < bestScore) {
-                best = machine
-                bestScore = score
-            }
-        }
-        return best
-    }
-
     /** True if a machine of this kind could take a task of the job, were it empty. */
     fun suits(job: Job, type: MachineType, zone: String, spot: Boolean): Boolean {
         val spec = job.spec
@@ -204,7 +256,7 @@
 
     /** Where the tasks of a job that is bound to zones are or may be, with how many. */
     private fun zonesOf(job: Job): Map<String, Int> {
-        if (!job.spec.oneZone && !job.spec.spread) return emptyMap()
+        if (!job.zoned) return emptyMap()
         val zones = HashMap<String, Int>()
         for (placement in job.placements.values) {
             zones.merge(placement.zone, 1, Int::plus)
@@ -218,133 +270,19 @@
         return fetch.seconds * FETCH_WEIGHT + (machine.freeCpus - spec.cpus) / machine.type.cpus
     }
 
-    /**
-     * Stops work to make room: for a job of higher urgency, or to give a team its guarantee at the
-     * cost of what another team runs beyond its own. Sized by class: as much as the job's waiting
-     * tasks need and no more, counting what is on its way out already.
-     */
-    fun preempt() {
-        val blocked =
-            cluster.jobs.values.filter { job ->
-                val since = job.blockedSince
-                since != null &&
-                    job.waiting > 0 &&
-                    !job.atFault &&
-                    desk.now - since >= operators.preemptAfterS.secs
-            }
-        if (blocked.isEmpty()) return
-        val leaving =
-            cluster.machines.values.flatMap { m -> m.placements.values.filter { it.halting } }
-        var room = leaving.sumOf { it.job.spec.cpus }
-        val cap = HashMap<String, Double>()
-        for (placement in leaving) cap.merge(
-            placement.job.spec.team,
-            placement.job.spec.cpus,
-            Double::plus,
-        )
-        for (job in blocked.sortedWith(compareBy({ it.spec.urgency }, { it.acceptedAt.value }))) {
-            val spec = job.spec
-            val wanted = minOf(job.waiting, MOST_AT_ONCE) * spec.cpus
-            // What its team's cap leaves, and what the team's own less urgent work takes of it.
-            val free = cluster.headroom(spec) * spec.cpus + (cap[spec.team] ?: 0.0)
-            var own = 0.0
-            if (wanted > free) own = makeRoom(job, wanted - free) { it.job.spec.team == spec.team }
-            cap[spec.team] = (cap[spec.team] ?: 0.0) + own - minOf(wanted, free + own)
-            val rest = minOf(wanted, free + own) - own
-            room += own
-            if (rest > room) room += makeRoom(job, rest - room) { true }
-            room -= minOf(room, minOf(wanted, free + own))
-        }
-    }
-
-    /** Stops as much as is wanted, the cheapest first; gives the CPUs that come free. */
-    private fun makeRoom(job: Job, wanted: Double, among: (Placement) -> Boolean): Double {
-        val victims =
-            cluster.machines.values
-                .filter { usable(it) && allowed(job.spec, it) && it.type.holds(job.spec) }
-                .flatMap { it.placements.values }
-                .filter { it.committed && !it.halting && it.status != null && among(it) }
-                .filter { mayStop(job, it) }
-                .sortedBy { loss(it) }
-        var freed = 0.0
-        var calledBack = false
-        for (victim in victims) {
-            if (freed >= wanted) break
-            if (fetchesAlone(victim)) continue
-            // Nearly done: its room comes by itself.
-            if (remaining(victim) < SOON) continue
-            // Much larger than what is needed: it would destroy more than it pays for.
-            if (victim.job.spec.cpus > (wanted - freed) * MOST_WASTE) continue
-            stop(victim, "room for ${job.id}")
-            if (victim.job.spec.urgency == job.spec.urgency) calledBack = true
-            freed += victim.job.spec.cpus
-        }
-        if (calledBack) job.calledBackAt = desk.now
-        return freed
-    }
-
-    private fun mayStop(job: Job, victim: Placement): Boolean {
-        val other = victim.job.spec
-        // One task of a gang takes the others with it.
-        if (other.shape == Shape.GANG) return false
-        if (other.urgency > job.spec.urgency) return true
-        // A guarantee is called back only from work that keeps what it has done, and never from
-        // more urgent work: otherwise two teams below theirs stop each other without end.
-        if (other.team == job.spec.team || other.urgency < job.spec.urgency) return false
-        if (!other.savable || !mayCallBack(job)) return false
-        // Only for the team that the room would go to.
-        if (cluster.queue.startTag(job.spec.team) > cluster.queue.startTag(other.team)) return false
-        val own = cluster.teams[job.spec.team] ?: return false
-        val theirs = cluster.teams[other.team] ?: return false
-        return cluster.usedCpus(job.spec.team) + job.spec.cpus <= own.cpus &&
-            cluster.usedCpus(other.team) - other.cpus >= theirs.cpus
-    }
-
-    /** After each call-back a job waits again, so that the room can come to it. */
-    private fun mayCallBack(job: Job): Boolean {
-        val pause = operators.callBackAfterS.secs
-        return waited(job) >= pause && desk.now - job.calledBackAt >= pause
-    }
-
-    private fun waited(job: Job): Micros = job.blockedSince?.let { desk.now - it } ?: Micros.ZERO
-
-    /** Stopping the last task that waits for an image throws the fetch away. */
-    private fun fetchesAlone(victim: Placement): Boolean {
-        if (victim.status != TaskStatus.FETCHING) return false
-        val machine = cluster.machines[victim.machine] ?: return false
-        return machine.placements.values.none {
-            it !== victim && !it.halting && it.job.spec.image == victim.job.spec.image
-        }
-    }
-
-    private fun remaining(victim: Placement): Micros {
-        val since = victim.runningSince ?: return cluster.estimates.runTime(victim.job.spec)
-        return cluster.estimates.runTime(victim.job.spec) - (desk.now - since)
-    }
-
-    /** CPU-seconds that stopping it throws away. */
-    private fun loss(victim: Placement): Double {
-        val spec = victim.job.spec
-        val since = victim.runningSince ?: return 0.0
-        val lost = if (spec.savable) spec.saveS else (desk.now - since).seconds
-        return (lost + RESTART_S) * spec.cpus
-    }
-
     fun stop(victim: Placement, why: String) {
         val spec = victim.job.spec
         val save = spec.savable && victim.status == TaskStatus.RUNNING
         victim.haltWithin = if (save) (spec.saveS + SAVE_MARGIN_S).secs else Micros.ZERO
         victim.haltSent = false
+        cluster.machines[victim.machine]?.let { cluster.due.add(it) }
         log.info("stopping {} on {}: {}", victim.task, victim.machine, why)
     }
 
     private companion object {
         const val FETCH_WEIGHT = 0.5
-        const val MOST_AT_ONCE = 64
-        const val MOST_WASTE = 2.0
-        const val RESTART_S = 3.0
         const val SAVE_MARGIN_S = 1.0
-        val SOON = 3.secs
         val SCARCE_AFTER = 4.secs
+        val UNANSWERED = 1.secs
     }
 }
--- /dev/null
+++ b/src/main/kotlin/wardmux/dispatch/Preemption.kt
@@ -0,0 +1,153 @@
+package wardmux.dispatch
+
+import wardmux.Desk
+import wardmux.Micros
+import wardmux.app.OperatorSettings
+import wardmux.fleet.Placement
+import wardmux.fleet.TaskStatus
+import wardmux.intake.Shape
+import wardmux.secs
+
+/** Stops work to make room for other work. */
+class Preemption(
+    private val desk: Desk,
+    private val cluster: Cluster,
+    private val planner: Planner,
+    private val operators: OperatorSettings,
+) {
+    /**
+     * Stops work to make room: for a job of higher urgency, or to give a team its guarantee at the
+     * cost of what another team runs beyond its own. Sized by class: as much as the job's waiting
+     * tasks need and no more, counting what is on its way out already.
+     */
+    fun preempt() {
+        val blocked =
+            cluster.jobs.values.filter { job ->
+                val since = job.blockedSince
+                since != null &&
+                    job.waiting > 0 &&
+                    !job.atFault &&
+                    desk.now - since >= operators.preemptAfterS.secs
+            }
+        if (blocked.isEmpty()) return
+        val placed =
+            cluster.machines.values.flatMap { m ->
+                if (m.placements.isEmpty()) emptyList() else m.placements.values.toList()
+            }
+        val leaving = placed.filter { it.halting }
+        // Sorted once for all that wait: what is lost by a stop does not depend on for whom.
+        val victims =
+            placed
+                .filter { it.committed && !it.halting && it.status != null && isUsable(it) }
+                .map { it to loss(it) }
+                .sortedBy { it.second }
+                .map { it.first }
+        var room = leaving.sumOf { it.job.spec.cpus }
+        val cap = HashMap<String, Double>()
+        for (placement in leaving) cap.merge(
+            placement.job.spec.team,
+            placement.job.spec.cpus,
+            Double::plus,
+        )
+        for (job in blocked.sortedWith(compareBy({ it.spec.urgency }, { it.acceptedAt.value }))) {
+            val spec = job.spec
+            val wanted = minOf(job.waiting, MOST_AT_ONCE) * spec.cpus
+            // What its team's cap leaves, and what the team's own less urgent work takes of it.
+            val free = cluster.headroom(spec) * spec.cpus + (cap[spec.team] ?: 0.0)
+            var own = 0.0
+            if (wanted > free)
+                own = makeRoom(job, wanted - free, victims) { it.job.spec.team == spec.team }
+            cap[spec.team] = (cap[spec.team] ?: 0.0) + own - minOf(wanted, free + own)
+            val rest = minOf(wanted, free + own) - own
+            room += own
+            if (rest > room) room += makeRoom(job, rest - room, victims) { true }
+            room -= minOf(room, minOf(wanted, free + own))
+        }
+    }
+
+    /** Stops as much as is wanted, the cheapest first; gives the CPUs that come free. */
+    private fun makeRoom(
+        job: Job,
+        wanted: Double,
+        victims: List<Placement>,
+        among: (Placement) -> Boolean,
+    ): Double {
+        var freed = 0.0
+        var calledBack = false
+        for (victim in victims) {
+            if (freed >= wanted) break
+            if (victim.halting || !among(victim) || !mayStop(job, victim)) continue
+            val machine = cluster.machines[victim.machine] ?: continue
+            if (!planner.allowed(job.spec, machine) || !machine.type.holds(job.spec)) continue
+            if (fetchesAlone(victim)) continue
+            // Nearly done: its room comes by itself.
+            if (remaining(victim) < SOON) continue
+            // Much larger than what is needed: it would destroy more than it pays for.
+            if (victim.job.spec.cpus > (wanted - freed) * MOST_WASTE) continue
+            planner.stop(victim, "room for ${job.id}")
+            if (victim.job.spec.urgency == job.spec.urgency) calledBack = true
+            freed += victim.job.spec.cpus
+        }
+        if (calledBack) job.calledBackAt = desk.now
+        return freed
+    }
+
+    private fun isUsable(placement: Placement): Boolean {
+        val machine = cluster.machines[placement.machine] ?: return false
+        return planner.usable(machine)
+    }
+
+    private fun mayStop(job: Job, victim: Placement): Boolean {
+        val other = victim.job.spec
+        // One task of a gang takes the others with it.
+        if (other.shape == Shape.GANG) return false
+        if (other.urgency > job.spec.urgency) return true
+        // A guarantee is called back only from work that keeps what it has done, and never from
+        // more urgent work: otherwise two teams below theirs stop each other without end.
+        if (other.team == job.spec.team || other.urgency < job.spec.urgency) return false
+        if (!other.savable || !mayCallBack(job)) return false
+        // Only for the team that the room would go to.
+        if (cluster.queue.startTag(job.spec.team) > cluster.queue.startTag(other.team)) return false
+        val own = cluster.teams[job.spec.team] ?: return false
+        val theirs = cluster.teams[other.team] ?: return false
+        return cluster.usedCpus(job.spec.team) + job.spec.cpus <= own.cpus &&
+            cluster.usedCpus(other.team) - other.cpus >= theirs.cpus
+    }
+
+    /** After each call-back a job waits again, so that the room can come to it. */
+    private fun mayCallBack(job: Job): Boolean {
+        val pause = operators.callBackAfterS.secs
+        return waited(job) >= pause && desk.now - job.calledBackAt >= pause
+    }
+
+    private fun waited(job: Job): Micros = job.blockedSince?.let { desk.now - it } ?: Micros.ZERO
+
+    /** Stopping the last task that waits for an image throws the fetch away. */
+    private fun fetchesAlone(victim: Placement): Boolean {
+        if (victim.status != TaskStatus.FETCHING) return false
+        val machine = cluster.machines[victim.machine] ?: return false
+        return machine.placements.values.none {
+            it !== victim && !it.halting && it.job.spec.image == victim.job.spec.image
+        }
+    }
+
+    private fun remaining(victim: Placement): Micros {
+        val since = victim.runningSince ?: return cluster.estimates.runTime(victim.job.spec)
+        return cluster.estimates.runTime(victim.job.spec) - (desk.now - since)
+    }
+
+    /** CPU-seconds that stopping it throws away. */
+    private fun loss(victim: Placement): Double {
+        val spec = victim.job.spec
+        val since = victim.runningSince ?: return 0.0
+        val lost = if (spec.savable) spec.saveS else (desk.now - since).seconds
+        return (lost + RESTART_S) * spec.cpus
+    }
+
+    private companion object {
+        const val MOST_AT_ONCE = 64
+        const val MOST_WASTE = 2.0
+        const val RESTART_S = 3.0
+        val SOON = 3.secs
+    }
+}
--- a/src/main/kotlin/wardmux/dispatch/TeamOrder.kt
+++ b/src/main/kotlin/wardmux/dispatch/TeamOrder.kt
@@ -11,23 +11,33 @@
  * as a whole which jobs are kept in time, so that as many as possible are: by deadline, and
  * whenever one would be late, the job with the most work left is put behind (Moore and Hodgson's
  * rule). What is put behind is held against the class's next, later deadline in the same way. A job
- * that is at fault comes last.
+ * that is at fault comes last. Being put behind is bounded: what has not begun for [longestWait]
+ * goes before all else, so that the largest jobs are not held up for ever by smaller ones.
  */
-class TeamOrder(private val objectives: List<ObjectiveFacts>, private val estimates: Estimates) {
-    private class Entry(val job: Job, val work: Double, val run: Double)
+class TeamOrder(
+    private val objectives: List<ObjectiveFacts>,
+    private val estimates: Estimates,
+    private val longestWait: Micros,
+) {
+    private class Entry(val job: Job, val work: Double, val run: Double, val due: DoubleArray) {
+        /** Seconds from now; past its last limit a job is held against that. */
+        fun due(level: Int) = due[minOf(level, due.lastIndex)]
+    }
 
     /** [cpus] is what the team can count on now. */
     fun sort(jobs: List<Job>, cpus: Double, wall: Micros): List<Job> {
+        if (jobs.size < 2) return jobs
         val bySubmission = compareBy<Job>({ it.acceptedAt.value }, { it.id.value })
         val (faulty, good) = jobs.sortedWith(bySubmission).partition { it.atFault }
-        val (timed, untimed) = good.partition { limits(it.spec).isNotEmpty() }
-        if (timed.size < 2 || cpus <= 0) return good + faulty
-        var open = timed.map { entry(it, cpus) }
-        val sorted = ArrayList<Job>()
+        val (overdue, others) = good.partition { !it.begun && wall - it.acceptedAt > longestWait }
+        val (timed, untimed) = others.partition { limits(it.spec).isNotEmpty() }
+        if (timed.size < 2 || cpus <= 0) return overdue + others + faulty
+        var open = timed.map { entry(it, cpus, wall) }
+        val sorted = ArrayList<Job>(overdue)
         var spent = 0.0
-        val levels = timed.maxOf { limits(it.spec).size }
+        val levels = open.maxOf { it.due.size }
         for (level in 0 until levels) {
-            val (kept, late) = keepInTime(open, level, spent, wall)
+            val (kept, late) = keepInTime(open, level, spent)
             spent += kept.sumOf { it.work }
             kept.mapTo(sorted) { it.job }
             open = late
@@ -38,48 +48,46 @@
 
     /** Seconds after acceptance by which users expect a job like this to be done, ascending. */
     private fun limits(spec: JobSpec): List<Double> {
-        val own = objectives.filter { it.jobClass == spec.jobClass }
+        val own = byClass[spec.jobClass].orEmpty()
         val due = spec.deadlineS
         val times = own.filter { it.kind == "deadline" }.map { it.times }.ifEmpty { listOf(1.0) }
         val deadlines = if (due == null) emptyList() else times.map { it * due }
         return (deadlines + own.filter { it.kind == "finished" }.map { it.withinS }).sorted()
     }
 
-    private fun entry(job: Job, cpus: Double): Entry {
+    private val byClass = objectives.groupBy { it.jobClass }
+
+    private fun entry(job: Job, cpus: Double, wall: Micros): Entry {
         val spec = job.spec
         val run = estimates.runTime(spec).seconds
         val left = spec.tasks - job.doneCount - job.placements.size * HALF
-        return Entry(job, left * spec.cpus / cpus * run, run)
+        val age = (wall - job.acceptedAt).seconds
+        val due = limits(spec).map { it - age }.toDoubleArray()
+        return Entry(job, left * spec.cpus / cpus * run, run, due)
     }
 
     private fun keepInTime(
         open: List<Entry>,
         level: Int,
         spent: Double,
-        wall: Micros,
     ): Pair<List<Entry>, List<Entry>> {
-        fun due(entry: Entry): Double {
-            val limits = limits(entry.job.spec)
-            val limit = limits.getOrElse(level) { limits.last() }
-            return limit - (wall - entry.job.acceptedAt).seconds
-        }
         val kept = PriorityQueue<Entry>(compareByDescending { it.work })
         val late = ArrayList<Entry>()
         var busy = spent
-        for (entry in open.sortedBy { due(it) }) {
-            if (entry.run > due(entry)) {
+        for (entry in open.sortedBy { it.due(level) }) {
+            if (entry.run > entry.due(level)) {
                 late.add(entry)
                 continue
             }
             kept.add(entry)
             busy += entry.work
-            while (busy > due(entry) && kept.isNotEmpty()) {
+            while (busy > entry.due(level) && kept.isNotEmpty()) {
                 val longest = kept.poll()
                 busy -= longest.work
                 late.add(longest)
             }
         }
-        return kept.sortedBy { due(it) } to late
+        return kept.sortedBy { it.due(level) } to late
     }
 
     private companion object {
--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -16,6 +16,7 @@
 import wardmux.dispatch.Planner
 import wardmux.lead.Leadership
 import wardmux.logger
+import wardmux.millis
 import wardmux.secs
 import wardmux.store.lenientJson
 
@@ -32,6 +33,8 @@
     private val operators: OperatorSettings,
     private val token: Token,
     private val sure: () -> Boolean,
+    /** Since when this leader has not been sure of its lease, or null. */
+    private val unsureSince: () -> Micros?,
     private val loaded: () -> Boolean,
     private val condemn: (Machine, String) -> Unit,
     private val seen: (Token) -> Unit,
@@ -49,46 +52,54 @@
         val type = types.byLabel(typeLabel) ?: return null
         val machine = Machine(id, type, zone, spot)
         machine.idleSince = desk.now
-        cluster.machines[id] = machine
-        // What the records say of it was read before it was heard of.
-        for (job in cluster.jobs.values) {
-            for (placement in job.placements.values) {
-                if (placement.machine == id) machine.add(placement)
-            }
-        }
+        cluster.add(machine)
         return machine
     }
 
     fun hello(call: Long, report: Report) {
         val id = MachineId(report.machine)
         if (id in gone) return desk.answer(call, 503)
+        val known = cluster.machines[id]
         val machine =
-            machine(id, report.type, report.zone, report.spot) ?: return answer(call, emptyList())
+            known
+                ?: machine(id, report.type, report.zone, report.spot)
+                ?: return answer(call, emptyList())
+        if (known == null) machine.rumour = true
         // Not renewed: its lease is to end if its deletion takes long.
         if (machine.condemned) {
             if (isNewer(machine, report)) note(machine, report)
-            machine.heardAt = desk.now
             return desk.answer(call, 503)
         }
-        if (!isNewer(machine, report)) {
-            // Late, or overtaken by a direct order's answer; but it may renew the lease.
-            if (report.shift == machine.shift) machine.heardAt = desk.now
-            return answer(call, emptyList())
-        }
+        if (sendOn(machine)) return desk.answer(call, 421)
+        // Any report that is answered may renew the lease, also one that is no sign of life.
+        machine.renewedAt = desk.now
+        // Late, a copy, or overtaken by a direct order's answer: it shows nothing.
+        if (!isNewer(machine, report)) return answer(call, emptyList())
         note(machine, report)
-        machine.heardAt = desk.now
         if (!loaded()) return answer(call, emptyList())
         reconcile(machine, report)
         proveAbsent(machine, report)
         answer(call, orders(machine, report))
     }
 
+    /**
+     * A leader that has been unsure for a while may be cut off from all but its workers, and then a
+     * successor can't reach them. So each is sent on once in a while, for any other controller to
+     * say who leads. In a mere outage they say that this one does, and it comes back.
+     */
+    private fun sendOn(machine: Machine): Boolean {
+        val unsure = unsureSince() ?: return false
+        if (desk.now - unsure < SEND_ON_AFTER) return false
+        if (desk.now - machine.sentOnAt < workers.leaseS.secs * SEND_ON_PART) return false
+        machine.sentOnAt = desk.now
+        return true
+    }
+
     private fun isNewer(machine: Machine, report: Report) =
         report.shift > machine.shift ||
             (report.shift == machine.shift && report.tick > machine.tick)
 
     private fun note(machine: Machine, report: Report) {
-        if (machine.heardAt == null) log.info("{} is up", machine.id)
         if (report.shift > machine.shift) {
             // A new session begins with nothing on the machine; its images stay.
             for (placement in machine.placements.values.toList()) {
@@ -96,12 +107,25 @@
             }
             // Direct orders name the session, so those of an earlier one are refused.
             machine.loose.clear()
+            machine.endedSince.clear()
             machine.directBroken = false
         }
         machine.endpoint = report.endpoint
         machine.shift = report.shift
         machine.tick = report.tick
-        if (report.token == token.value) machine.confirmed = true
+        if (report.token == token.value) {
+            if (!machine.confirmed) {
+                log.info("{} is up", machine.id)
+                cluster.due.add(machine)
+                cluster.changed()
+            }
+            machine.confirmed = true
+            machine.rumour = false
+            // Under an older token it may be a copy from before this leader's time.
+            machine.heardAt = desk.now
+        } else if (machine.firstRumourAt == null) {
+            machine.firstRumourAt = desk.now
+        }
         if (report.recallS != null && machine.recalledAt == null) {
             machine.recalledAt = desk.now
             machine.takenAt = desk.now + report.recallS.secs
@@ -111,22 +135,29 @@
 
     /** Takes in what the report shows. */
     private fun reconcile(machine: Machine, report: Report) {
-        val strays = ArrayList<wardmux.intake.JobSpec>()
+        var strays: ArrayList<wardmux.intake.JobSpec>? = null
         for (reported in report.tasks) {
-            val task = TaskId.parse(reported.task) ?: continue
-            val placement = machine.placements[task]?.takeIf { it.attempt == reported.attempt }
+            val placement = machine.placed(reported)
             if (placement != null) {
+                placement.shownTick = report.tick
                 if (reported.status == TaskStatus.ENDED) ended(machine, placement, reported)
                 else progressed(machine, placement, reported.status)
-            } else if (reported.status == TaskStatus.ENDED) {
+                continue
+            }
+            val task = TaskId.parse(reported.task) ?: continue
+            if (reported.status == TaskStatus.ENDED) {
                 endedUnplaced(task, reported)
             } else {
-                cluster.jobs[task.job]?.let { strays.add(it.spec) }
+                val job = cluster.jobs[task.job] ?: continue
+                strays = (strays ?: ArrayList()).also { it.add(job.spec) }
             }
         }
-        cluster.setStrays(machine, strays)
+        cluster.setStrays(machine, strays ?: emptyList())
     }
 
+    private fun Machine.placed(reported: ReportedTask): Placement? =
+        placements[reported.task]?.takeIf { it.attempt == reported.attempt }
+
     /**
      * Under this token only this leader gives orders, and in its answers one report at a time: what
      * a later report lacks is not there, and no order for it is still under way. Only reports that
@@ -135,14 +166,15 @@
      */
     private fun proveAbsent(machine: Machine, report: Report) {
         if (report.token != token.value) return
-        val shown = report.tasks.mapTo(HashSet()) { it.task to it.attempt }
-        for (placement in machine.placements.values.toList()) {
-            val name = placement.task.toString() to placement.attempt
-            val leaving = placement.halting || placement.job.over || placement.restored
-            if (!leaving || !placement.committed || name in shown) continue
-            if (placement.task to placement.attempt in machine.loose) continue
-            cluster.release(placement, "not on the machine")
-        }
+        val absent =
+            machine.placements.values.filter {
+                val leaving = it.halting || it.job.over || it.restored
+                leaving &&
+                    it.committed &&
+                    it.shownTick != report.tick &&
+                    (it.name to it.attempt) !in machine.loose
+            }
+        for (placement in absent) cluster.release(placement, "not on the machine")
     }
 
     private fun progressed(machine: Machine, placement: Placement, status: TaskStatus) {
@@ -201,19 +233,21 @@
         if (reported.cause != "done" || job.over || job.isDone(task.index)) return
         if (task.index !in 0 until job.spec.tasks) return
         if (job.placements.containsKey(task.index)) return
-        job.complete(task.index)
+        job.complete(task.index, desk.wall)
+        cluster.changed()
     }
 
     private fun orders(machine: Machine, report: Report): List<Order> {
         val orders = ArrayList<Order>()
         for (reported in report.tasks) {
-            val task = TaskId.parse(reported.task) ?: continue
-            val placement = machine.placements[task]?.takeIf { it.attempt == reported.attempt }
             if (reported.status == TaskStatus.ENDED) {
-                if (mayForget(machine, task, reported)) {
+                if (mayForget(machine, reported)) {
                     orders.add(Order.forget(reported.task, reported.attempt))
                 }
-            } else if (placement == null || placement.job.over) {
+                continue
+            }
+            val placement = machine.placed(reported)
+            if (placement == null || placement.job.over) {
                 orders.add(Order.halt(reported.task, reported.attempt, 0.0))
             } else if (placement.halting && reported.status != TaskStatus.SAVING) {
                 val within = placement.haltWithin ?: Micros.ZERO
@@ -221,17 +255,20 @@
             }
         }
         if (!sure()) return orders
-        val known = report.tasks.mapTo(HashSet()) { it.task to it.attempt }
         for (placement in machine.placements.values) {
             if (orders.size >= MAX_ORDERS) break
-            if (!startable(machine, placement)) continue
-            if ((placement.task.toString() to placement.attempt) in known) continue
+            if (placement.shownTick == report.tick || !startable(machine, placement)) continue
             orders.add(Order.start(placement))
-            placement.startSent = true
+            started(placement)
         }
         return orders
     }
 
+    private fun started(placement: Placement) {
+        placement.startSent = true
+        if (placement.startedAt == null) placement.startedAt = desk.now
+    }
+
     private fun startable(machine: Machine, placement: Placement) =
         placement.committed &&
             !placement.restored &&
@@ -244,40 +281,60 @@
      * report. A lost answer leaves the order's fate open: see [Machine.loose].
      */
     fun sendDirect() {
-        for (machine in cluster.machines.values) {
-            if (!machine.confirmed || machine.condemned || machine.endpoint.isEmpty()) continue
-            if (machine.directBusy || machine.directBroken || machine.empty) continue
-            val starts = ArrayList<Placement>()
-            val orders = ArrayList<Order>()
-            for (placement in machine.placements.values) {
-                val leaving = placement.halting || placement.job.over
-                if (leaving && placement.status != null && !placement.haltSent) {
-                    val within = if (placement.job.over) Micros.ZERO else placement.haltWithin
-                    val seconds = (within ?: Micros.ZERO).seconds
-                    val task = placement.task.toString()
-                    orders.add(Order.halt(task, placement.attempt, seconds))
-                    placement.haltSent = true
-                } else if (sure() && !placement.startSent && startable(machine, placement)) {
-                    starts.add(placement)
-                }
+        val looked = cluster.due.iterator()
+        while (looked.hasNext() && directOpen < MOST_DIRECT_OPEN) {
+            val machine = looked.next()
+            // One at a time: looked at again when that one is over.
+            if (machine.directBusy) continue
+            val reachable = machine.confirmed && !machine.condemned && machine.endpoint.isNotEmpty()
+            if (!reachable || machine.directBroken) {
+                looked.remove()
+                continue
             }
-            for (placement in starts.take(MAX_DIRECT)) {
-                placement.startSent = true
-                machine.loose.add(placement.task to placement.attempt)
-                orders.add(Order.start(placement))
+            val waits = sendDirect(machine)
+            if (!waits && !machine.directBusy) looked.remove()
+        }
+    }
+
+    /** True if some of it can't go out yet. */
+    private fun sendDirect(machine: Machine): Boolean {
+        val starts = ArrayList<Placement>()
+        val orders = ArrayList<Order>()
+        var waits = false
+        for (placement in machine.placements.values) {
+            val leaving = placement.halting || placement.job.over
+            if (leaving && placement.status != null && !placement.haltSent) {
+                val within = if (placement.job.over) Micros.ZERO else placement.haltWithin
+                val seconds = (within ?: Micros.ZERO).seconds
+                orders.add(Order.halt(placement.name, placement.attempt, seconds))
+                placement.haltSent = true
+            } else if (!placement.startSent && startable(machine, placement) && sure()) {
+                if (starts.size < MAX_DIRECT) starts.add(placement) else waits = true
+            } else if (!placement.committed) {
+                waits = true
             }
-            if (orders.isNotEmpty()) direct(machine, orders, starts.take(MAX_DIRECT))
         }
+        for (placement in starts) {
+            started(placement)
+            machine.loose.add(placement.name to placement.attempt)
+            orders.add(Order.start(placement))
+        }
+        if (orders.isNotEmpty()) direct(machine, orders, starts)
+        return waits
     }
 
     private fun direct(machine: Machine, orders: List<Order>, starts: List<Placement>) {
         machine.directBusy = true
+        machine.directSince = desk.now
+        directOpen++
         val shift = machine.shift
         val body = DirectOrders(token.value, shift, orders)
         val bytes = lenientJson.encodeToString(DirectOrders.serializer(), body).encodeToByteArray()
         val target = Target.Worker(machine.endpoint)
         desk.send(target, "POST", "/do", bytes, DIRECT_TIME) { outcome ->
             machine.directBusy = false
+            directOpen--
+            if (starts.any { it.haltSent } || !machine.empty) cluster.due.add(machine)
             when (outcome) {
                 is Outcome.Response -> {
                     if (outcome.status != 200) for (placement in starts) placement.startSent = false
@@ -299,7 +356,7 @@
 
     private fun settled(machine: Machine, shift: Long, starts: List<Placement>) {
         if (machine.shift != shift) return
-        for (placement in starts) machine.loose.remove(placement.task to placement.attempt)
+        for (placement in starts) machine.loose.remove(placement.name to placement.attempt)
     }
 
     private fun takeDirect(machine: Machine, response: Outcome.Response) {
@@ -319,10 +376,12 @@
     }
 
     /** A completed task is recorded before the only other place that knows of it forgets. */
-    private fun mayForget(machine: Machine, task: TaskId, reported: ReportedTask): Boolean {
-        if (task to reported.attempt in machine.loose) return false
+    private fun mayForget(machine: Machine, reported: ReportedTask): Boolean {
+        if (reported.task to reported.attempt in machine.loose) return false
+        if (reported.cause != "done") return machine.endedFor(reported, desk.now) > forgetAfter
+        val task = TaskId.parse(reported.task) ?: return true
         val job = cluster.jobs[task.job] ?: return true
-        return reported.cause != "done" || job.over || job.isRecorded(task.index)
+        return job.over || job.isRecorded(task.index)
     }
 
     private fun answer(call: Long, orders: List<Order>) {
@@ -330,15 +389,16 @@
         desk.answer(call, 200, lenientJson.encodeToString(HelloAnswer.serializer(), body))
     }
 
-    /** Notices machines that fell silent. */
+    /** Notices machines that fell silent, or that orders do not reach. */
     fun watchSilence() {
-        val lostAfter = (workers.reportS * operators.lostReports).secs
-        val leaseOver = workers.leaseS.secs * (1 + Leadership.DRIFT) + operators.leaseMarginS.secs
+        if (desk.now < watchAt) return
+        watchAt = desk.now + WATCH_PERIOD
         val up = cluster.machines.values.filter { it.up && !it.condemned }
         val silent = ArrayList<Machine>()
+        val deaf = ArrayList<Machine>()
         for (machine in up) {
             val silence = desk.now - (machine.heardAt ?: continue)
-            if (machine.confirmed && silence > leaseOver && !machine.empty) {
+            if (desk.now - machine.renewedAt > leaseOver && !machine.empty) {
                 // It has taken this leader's token, so nobody else can have renewed its lease.
                 log.info("the lease of {} is over", machine.id)
                 cluster.clear(machine, "lease over")
@@ -349,39 +409,69 @@
             if (silence > lostAfter) silent.add(machine)
             // Nothing new goes there, so that what went unanswered can do no harm.
             else if (machine.directBroken && machine.empty) condemn(machine, "orders unanswered")
+            else if (isDeaf(machine)) deaf.add(machine)
         }
         // Many at once: more likely the network than the machines. Their leases decide.
-        val many = silent.size > maxOf(2, up.size / 3)
+        val many = maxOf(FEW, up.size / MANY_PART)
         for (machine in silent) {
             val silence = desk.now - (machine.heardAt ?: continue)
-            if (!many || silence > leaseOver + leaseOver) condemn(machine, "silent")
+            if (silent.size <= many || silence > leaseOver + leaseOver) condemn(machine, "silent")
         }
-        watchUnheard(lostAfter)
+        if (deaf.size <= many) for (machine in deaf) condemn(machine, "orders do not reach it")
+        watchUnheard()
     }
 
     /**
-     * A machine with placements that never reported to this leader: an earlier leader may keep its
-     * lease alive, so only its deletion proves anything.
+     * Its reports arrive, but go on lacking a start that was sent long ago. The start may still be
+     * under way, so only the machine's deletion frees the task, its room and its cap.
      */
-    private fun watchUnheard(lostAfter: Micros) {
-        val due = electedAt + workers.leaseS.secs + lostAfter
-        if (!loaded() || desk.now < due) return
-        val unheard = HashSet<MachineId>()
-        for (job in cluster.jobs.values) {
-            for (placement in job.placements.values) {
-                val machine = cluster.machines[placement.machine]
-                if (machine == null || (!machine.up && !machine.condemned)) {
-                    unheard.add(placement.machine)
-                }
-            }
+    private fun isDeaf(machine: Machine): Boolean {
+        val heardAt = machine.heardAt ?: return false
+        val patience = maxOf((workers.reportS * UNSHOWN_REPORTS).secs, UNSHOWN_LEAST)
+        return machine.placements.values.any {
+            val startedAt = it.startedAt
+            it.status == null && startedAt != null && heardAt - startedAt > patience
         }
-        for (id in unheard) {
+    }
+
+    /**
+     * A machine with placements that never reported under this leader's token: an earlier leader
+     * may keep its lease alive, so only its deletion proves anything. One of which no more is known
+     * than a report under an older token may be gone for long.
+     */
+    private fun watchUnheard() {
+        if (!loaded()) return
+        val patience = workers.leaseS.secs + lostAfter
+        for (machine in cluster.machines.values) {
+            val since = machine.firstRumourAt ?: continue
+            if (machine.up || machine.condemned || desk.now - since < patience) continue
+            condemn(machine, "never took this leader's token")
+        }
+        if (desk.now - electedAt < patience) return
+        val unheard =
+            cluster.machines.values.filter { !it.up && !it.condemned && it.placements.isNotEmpty() }
+        for (machine in unheard) condemn(machine, "never reported to this leader")
+        for (id in cluster.unheardOf().toList()) {
             val type = types.types?.firstOrNull() ?: return
             val machine = machine(id, type.label, "", false) ?: continue
             condemn(machine, "never reported to this leader")
         }
     }
 
+    private val lostAfter = (workers.reportS * operators.lostReports).secs
+    private val leaseOver =
+        workers.leaseS.secs * (1 + Leadership.DRIFT) + operators.leaseMarginS.secs
+    private var watchAt = Micros.LONG_AGO
+
+    /**
+     * A copy of a direct start may come late, and would start a forgotten attempt again, beside the
+     * next one. What is done is not run again by it; all else is forgotten only after this.
+     */
+    private val forgetAfter = workers.leaseS.secs + workers.leaseS.secs
+
+    /** Direct orders under way. */
+    private var directOpen = 0
+
     private companion object {
         val TAKEN_MARGIN = 1.secs
         val DIRECT_TIME = 4.secs
@@ -391,5 +481,17 @@
         val FAILED_PAUSE = 8.secs
         const val SICK_FAILURES = 3
         const val MAX_ORDERS = 400
+
+        /** Each takes a connection of its own. */
+        const val MOST_DIRECT_OPEN = 96
+        val WATCH_PERIOD = 400.millis
+        val SEND_ON_AFTER = 2.secs
+        const val SEND_ON_PART = 0.5
+
+        /** Reports that may lack a start before the machine counts as deaf. */
+        const val UNSHOWN_REPORTS = 2.5
+        val UNSHOWN_LEAST = 8.secs
+        const val FEW = 2
+        const val MANY_PART = 3
     }
 }
--- a/src/main/kotlin/wardmux/fleet/Machine.kt
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -2,7 +2,6 @@
 
 import wardmux.MachineId
 import wardmux.Micros
-import wardmux.TaskId
 import wardmux.cloud.MachineType
 import wardmux.intake.JobSpec
 import wardmux.secs
@@ -12,14 +11,27 @@
     var shift = 0L
     var tick = -1L
 
-    /** When its last report came; its lease may run from then if that was answered. */
+    /** When its last report under this leader's token came that was no copy: a sign of life. */
     var heardAt: Micros? = null
 
+    /** When a report of it was last answered; its lease may run from then. */
+    var renewedAt = Micros.LONG_AGO
+
+    /** When it was first heard of under an older token; perhaps by a copy of an old report. */
+    var firstRumourAt: Micros? = null
+
+    /** Known from reports under an older token only: it may be gone for long. */
+    var rumour = false
+
+    /** When an unsure leader last sent it on to another controller. */
+    var sentOnAt = Micros.LONG_AGO
+
     /** Where it takes direct orders. */
     var endpoint = ""
 
     /** A direct order is under way; one at a time. */
     var directBusy = false
+    var directSince = Micros.LONG_AGO
 
     /** Direct orders went unanswered in this session, so they may be carried out at any time. */
     var directBroken = false
@@ -29,7 +41,13 @@
      * from a report proves nothing, and they are not forgotten: a start that is carried out after
      * it would run the attempt once more.
      */
-    val loose = HashSet<Pair<TaskId, Int>>()
+    val loose = HashSet<Pair<String, Int>>()
+
+    /** Attempts that ended otherwise than done, and when that was first reported. */
+    val endedSince = HashMap<Pair<String, Int>, Micros>()
+
+    fun endedFor(reported: ReportedTask, now: Micros): Micros =
+        now - endedSince.getOrPut(reported.task to reported.attempt) { now }
 
     /** It has reported under this leader's token, so no earlier leader can order it about. */
     var confirmed = false
@@ -47,10 +65,21 @@
     /** Jobs whose tasks failed here since one last completed, with how many did. */
     val failures = HashMap<String, Int>()
 
-    val placements = LinkedHashMap<TaskId, Placement>()
+    /** By the task's name, as in reports. */
+    val placements = LinkedHashMap<String, Placement>()
 
     /** Reported without a record: they take room until they are gone. */
     var strays = emptyList<JobSpec>()
+        set(value) {
+            field = value
+            strayCpus = value.sumOf { it.cpus }
+            strayGpus = value.sumOf { it.gpus }
+            strayMemory = value.sumOf { it.memoryGb }
+        }
+
+    private var strayCpus = 0.0
+    private var strayGpus = 0.0
+    private var strayMemory = 0.0
 
     private val images = LinkedHashMap<String, Image>()
     private var usedCpus = 0.0
@@ -73,23 +102,23 @@
             )
 
     val freeCpus: Double
-        get() = type.cpus - usedCpus - strays.sumOf { it.cpus }
+        get() = type.cpus - usedCpus - strayCpus
 
     fun fits(spec: JobSpec): Boolean {
         val slack = MachineType.EPSILON
         return spec.cpus <= freeCpus + slack &&
-            spec.gpus <= type.gpus - usedGpus - strays.sumOf { it.gpus } + slack &&
-            spec.memoryGb <= type.memoryGb - usedMemory - strays.sumOf { it.memoryGb } + slack
+            spec.gpus <= type.gpus - usedGpus - strayGpus + slack &&
+            spec.memoryGb <= type.memoryGb - usedMemory - strayMemory + slack
     }
 
     fun add(placement: Placement) {
-        placements[placement.task] = placement
+        placements[placement.name] = placement
         book(placement.job.spec, 1)
     }
 
     fun remove(placement: Placement, now: Micros) {
-        if (placements[placement.task] !== placement) return
-        placements.remove(placement.task)
+        if (placements[placement.name] !== placement) return
+        placements.remove(placement.name)
         book(placement.job.spec, -1)
         if (empty) idleSince = now
     }
@@ -124,23 +153,36 @@
             total -= oldest.next().value.gb
             oldest.remove()
         }
+        fetchesOver = lastFetch()
     }
 
     fun needs(image: String) = placements.values.any { it.job.spec.image == image }
 
     /** A task with this image runs. */
     fun imageReady(image: String, gb: Double, now: Micros) {
+        // Known already, as in most reports.
+        if ((images[image]?.readyAt ?: Micros.NEVER) <= now) return
         useImage(image, gb, now)
-        images[image]?.let { if (it.readyAt > now) it.readyAt = now }
+        val fetched = images[image] ?: return
+        if (fetched.readyAt <= now) return
+        fetched.readyAt = now
+        fetchesOver = lastFetch()
     }
 
     /** No task waits for the image any more, so its fetch is given up. */
     fun fetchGivenUp(image: String, now: Micros) {
-        images[image]?.let { if (it.readyAt > now) images.remove(image) }
+        val fetched = images[image] ?: return
+        if (fetched.readyAt <= now) return
+        images.remove(image)
+        fetchesOver = lastFetch()
     }
 
-    private fun fetchEnd(now: Micros): Micros =
-        images.values.maxOfOrNull { it.readyAt }?.takeIf { it > now } ?: now
+    /** When the fetches that are known of are over; kept, since each choice of a machine asks. */
+    private var fetchesOver = Micros.LONG_AGO
+
+    private fun lastFetch() = images.values.maxOfOrNull { it.readyAt } ?: Micros.LONG_AGO
+
+    private fun fetchEnd(now: Micros): Micros = maxOf(fetchesOver, now)
 
     private fun fetchTime(gb: Double) = (gb / type.fetchGbPerS).secs
 
--- a/src/main/kotlin/wardmux/fleet/Placement.kt
+++ b/src/main/kotlin/wardmux/fleet/Placement.kt
@@ -16,9 +16,10 @@
     /** Kept with the placement: its machine may not have been heard of by a later leader. */
     val zone: String,
     val charge: Charge,
-    /** Time of day. */
-    val placedAt: Micros,
 ) {
+    /** As workers name the task. */
+    val name = task.toString()
+
     /** Written, so the start may go out. */
     var committed = false
 
@@ -32,9 +33,15 @@
     var status: TaskStatus? = null
     var runningSince: Micros? = null
 
+    /** The newest report that shows it, by its tick in the machine's session. */
+    var shownTick = -1L
+
     /** A start went out in this term; reports show whether it has to go out again. */
     var startSent = false
 
+    /** When a start first went out in this term, by whichever way. */
+    var startedAt: Micros? = null
+
     /** The halt in force went out directly. */
     var haltSent = false
 
--- a/src/main/kotlin/wardmux/intake/Intake.kt
+++ b/src/main/kotlin/wardmux/intake/Intake.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.Serializable
 import wardmux.Desk
 import wardmux.JobId
+import wardmux.Stamp
 import wardmux.app.TeamFacts
 import wardmux.cloud.MachineType
 import wardmux.cloud.TypeBook
@@ -42,17 +43,11 @@
     /** Final states never change, so they may be answered from memory. */
     private val finals = Object2ObjectLinkedOpenHashMap<String, JobState>()
 
-    /**
-     * Polls of one job that wait for a read: those it serves, and those that came after it began.
-     */
-    private class Reading(val serves: List<Long>) {
-        val next = ArrayList<Long>()
-    }
-
-    private val readings = HashMap<JobId, Reading>()
+    private val polls = Polls(desk, store, ::answerPoll)
 
     fun learnFinal(job: JobId, state: JobState) {
         if (state == JobState.ACCEPTED) return
+        polls.forget(job)
         finals.putAndMoveToLast(job.value, state)
         if (finals.size > MAX_FINALS) finals.removeFirst()
     }
@@ -91,7 +86,7 @@
     private fun settle(call: Long, id: JobId, unknown: () -> Unit) {
         store.get(JobRecord.key(id)) { result ->
             when (result) {
-                is Result.Ok -> answerRecord(call, id, JobRecord.of(result.value.data).state)
+                is Result.Ok -> answerRecord(call, id, result.value)
                 is Result.Absent -> unknown()
                 else -> later(call)
             }
@@ -123,6 +118,7 @@
         store.multi(absent, changes, Priority.USER_WRITE) { result ->
             when (result) {
                 is Result.Ok -> {
+                    polls.learn(id, Stamp(result.value))
                     log.info(
                         "{} accepted: {} {} tasks of {} CPUs for {}",
                         id,
@@ -144,31 +140,24 @@
     fun poll(call: Long, id: JobId) {
         val final = finals[id.value]
         if (final != null) return answerFinal(call, id, final)
-        val reading = readings[id]
-        if (reading == null) read(id, listOf(call)) else reading.next.add(call)
+        polls.ask(call, id)
     }
 
-    private fun read(id: JobId, calls: List<Long>) {
-        val reading = Reading(calls)
-        readings[id] = reading
-        store.get(JobRecord.key(id)) { result ->
-            readings.remove(id)
-            for (call in reading.serves) answerPoll(call, id, result)
-            if (reading.next.isNotEmpty()) read(id, reading.next)
-        }
-    }
-
-    private fun answerPoll(call: Long, id: JobId, result: Result<Item>) {
+    private fun answerPoll(call: Long, id: JobId, seen: Polls.Seen) {
         // Learned while the read was under way; what the read saw is older.
         val final = finals[id.value]
         if (final != null) return answerFinal(call, id, final)
-        when (result) {
-            is Result.Ok -> answerRecord(call, id, JobRecord.of(result.value.data).state)
-            is Result.Absent -> desk.answer(call, 404, """{"error":"unknown job"}""")
-            else -> later(call)
+        when (seen) {
+            is Polls.Seen.Open -> answerState(call, 200, id, JobState.ACCEPTED)
+            is Polls.Seen.Record -> answerRecord(call, id, seen.item)
+            is Polls.Seen.Absent -> desk.answer(call, 404, """{"error":"unknown job"}""")
+            is Polls.Seen.Nothing -> later(call)
         }
     }
 
+    /** Reads what waits for it. */
+    fun tick() = polls.pump()
+
     fun abort(call: Long, id: JobId, tries: Int = 3) {
         val final = finals[id.value]
         if (final != null) return answerFinal(call, id, final)
@@ -176,9 +165,9 @@
             when (result) {
                 is Result.Ok -> {
                     val record = JobRecord.of(result.value.data)
-                    if (record.state == JobState.ACCEPTED)
+                    if (record?.state == JobState.ACCEPTED)
                         cancel(call, id, result.value, record, tries)
-                    else answerRecord(call, id, record.state)
+                    else answerRecord(call, id, result.value)
                 }
                 is Result.Absent -> desk.answer(call, 404, """{"error":"unknown job"}""")
                 else -> later(call)
@@ -209,7 +198,9 @@
         }
     }
 
-    private fun answerRecord(call: Long, id: JobId, state: JobState) {
+    private fun answerRecord(call: Long, id: JobId, item: Item) {
+        val state = JobRecord.of(item.data)?.state ?: return later(call)
+        if (state == JobState.ACCEPTED) polls.learn(id, Stamp(item.stamp))
         learnFinal(id, state)
         answerState(call, 200, id, state)
     }
--- a/src/main/kotlin/wardmux/intake/JobRecord.kt
+++ b/src/main/kotlin/wardmux/intake/JobRecord.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.JsonElement
 import wardmux.JobId
+import wardmux.logger
 import wardmux.store.lenientJson
 
 @Serializable
@@ -38,6 +39,13 @@
 
         fun openKey(job: JobId) = OPEN_PREFIX + job.value
 
-        fun of(json: JsonElement): JobRecord = lenientJson.decodeFromJsonElement(serializer(), json)
+        /** Null if what is stored is no record: it must not end or stop a controller. */
+        fun of(json: JsonElement): JobRecord? =
+            try {
+                lenientJson.decodeFromJsonElement(serializer(), json)
+            } catch (e: IllegalArgumentException) {
+                logger<JobRecord>().error("a stored job can't be read: {}", e.message)
+                null
+            }
     }
 }
--- a/src/main/kotlin/wardmux/lead/Leadership.kt
+++ b/src/main/kotlin/wardmux/lead/Leadership.kt
@@ -16,7 +16,7 @@
 import wardmux.store.lenientJson
 
 /** What the `leader` key says. [boot] tells the incarnations of one member apart. */
-@Serializable data class LeaderRecord(val member: String, val boot: Long)
+@Serializable data class LeaderRecord(val member: String, val boot: String)
 
 /** What a controller is to the others. */
 sealed interface Role {
@@ -38,7 +38,8 @@
     private val desk: Desk,
     private val store: StateStore,
     private val member: String,
-    private val boot: Long,
+    /** Never the same for two processes, whatever the operators' seed. */
+    private val boot: String,
     private val life: Micros,
     private val listener: Listener,
 ) {
@@ -53,6 +54,12 @@
         private set
 
     private var sureUntil = Micros.LONG_AGO
+
+    /** The lease that this process was last given; any other is a former process's. */
+    private var granted: Long? = null
+
+    /** When what a follower knows of the leader was last borne out. */
+    private var informedAt = Micros.LONG_AGO
     private var renewAt = Micros.ZERO
     private var renewing = false
 
@@ -63,6 +70,19 @@
     val sure: Boolean
         get() = role is Role.Leader && desk.now < sureUntil
 
+    /** Since when a leader has not been sure, or null if it is, or if this is no leader. */
+    val unsureSince: Micros?
+        get() = if (role is Role.Leader && !sure) maxOf(sureUntil, tookAt) else null
+
+    private var tookAt = Micros.LONG_AGO
+
+    /** Whom to send workers to, if that is known and was so lately. */
+    val leaderToName: String?
+        get() =
+            (role as? Role.Follower)?.leader?.takeIf {
+                it != member && desk.now - informedAt < STALE
+            }
+
     fun tick() {
         val due = lookAt
         if (due != null && desk.now >= due) look()
@@ -84,8 +104,10 @@
     fun heard(leader: String, token: Token) {
         seen(token)
         val follower = role as? Role.Follower ?: return
+        if (follower.token == token) informedAt = desk.now
         if (follower.token == null || token > follower.token) {
             role = Role.Follower(leader, token)
+            informedAt = desk.now
         }
     }
 
@@ -106,10 +128,17 @@
     }
 
     private fun found(data: kotlinx.serialization.json.JsonElement, stamp: Stamp, lease: Long?) {
-        val record = lenientJson.decodeFromJsonElement(LeaderRecord.serializer(), data)
+        val record =
+            try {
+                lenientJson.decodeFromJsonElement(LeaderRecord.serializer(), data)
+            } catch (e: IllegalArgumentException) {
+                // Nobody to name; its lease's end removes it.
+                log.error("the leader's record can't be read: {}", e.message)
+                return lookAgain(RETRY)
+            }
         when {
             record.member != member -> follow(record.member, Token(stamp.value))
-            record.boot == boot && lease != null -> {
+            record.boot == boot && lease != null && lease == granted -> {
                 // Our own write whose response was lost.
                 take(Role.Leader(Token(stamp.value), lease), desk.now)
                 // How old the lease is isn't known, so it is renewed before anything starts.
@@ -132,6 +161,7 @@
                 return@grant
             }
             val lease = granted.value
+            this.granted = lease
             val record = LeaderRecord(member, boot)
             val change =
                 Change(
@@ -155,6 +185,7 @@
     private fun take(leader: Role.Leader, since: Micros) {
         lookAt = null
         role = leader
+        tookAt = desk.now
         sureUntil = until(since)
         renewAt = since + life * RENEW_PART
         renewing = false
@@ -167,6 +198,7 @@
         if (role != Role.Follower(leader, token))
             log.info("following {} with token {}", leader, token)
         role = Role.Follower(leader, token)
+        informedAt = desk.now
         watch(token.value)
     }
 
@@ -175,8 +207,12 @@
             if (role is Role.Leader) return@watch
             when (result) {
                 is Result.Ok ->
-                    if (result.value.events.isEmpty()) watch(maxOf(from, result.value.epoch))
-                    else lookAgain(Micros.ZERO)
+                    if (result.value.events.isEmpty()) {
+                        informedAt = desk.now
+                        watch(maxOf(from, result.value.epoch))
+                    } else {
+                        lookAgain(Micros.ZERO)
+                    }
                 else -> lookAgain(RETRY)
             }
         }
@@ -228,5 +264,8 @@
         private val MARGIN = 100.millis
         private val RETRY = 300.millis
         private val WATCH_TIME = 8.secs
+
+        /** Longer than a watch that tells of no change. */
+        private val STALE = 12.secs
     }
 }
--- a/src/main/kotlin/wardmux/lead/Term.kt
+++ b/src/main/kotlin/wardmux/lead/Term.kt
@@ -1,5 +1,6 @@
 package wardmux.lead
 
+import kotlinx.serialization.json.JsonElement
 import wardmux.Desk
 import wardmux.JobId
 import wardmux.MachineId
@@ -15,6 +16,7 @@
 import wardmux.dispatch.Job
 import wardmux.dispatch.Ledger
 import wardmux.dispatch.Planner
+import wardmux.dispatch.Preemption
 import wardmux.fleet.Fleet
 import wardmux.fleet.Machine
 import wardmux.fleet.Report
@@ -57,6 +59,7 @@
     private val cluster = Cluster(desk, facts.teams, queue)
     private val planner =
         Planner(desk, cluster, operators, facts.workers, facts.objectives) { types.types.orEmpty() }
+    private val preemption = Preemption(desk, cluster, planner, operators)
     private val ledger = Ledger(desk, store, cluster, role, operators.writePeriodS.secs, this)
     private val fleet =
         Fleet(
@@ -68,6 +71,7 @@
             operators,
             role.token,
             { leadership.sure },
+            { leadership.unsureSince },
             { loaded },
             ::condemn,
             leadership::seen,
@@ -98,13 +102,19 @@
     private var watchFrom = 0L
     private var preemptAt = Micros.LONG_AGO
 
+    /** What had changed when the last plan was made, and when the next is made whatever has not. */
+    private var planned = -1L
+    private var planAt = Micros.LONG_AGO
+    private var cycleAt = Micros.LONG_AGO
+
     fun end() {
         over = true
     }
 
     fun hello(call: Long, report: Report) {
         fleet.hello(call, report)
-        cycle()
+        // What ended makes room; but a plan is not made for each report.
+        if (planned != cluster.changes && desk.now >= cycleAt) cycle()
     }
 
     fun tick() {
@@ -116,17 +126,23 @@
         hiring.tick(leadership.sure)
         if (leadership.sure && desk.now >= preemptAt) {
             preemptAt = desk.now + PREEMPT_PERIOD
-            planner.preempt()
+            preemption.preempt()
             fleet.sendDirect()
         }
         sweep()
+        fleet.sendDirect()
         cycle()
     }
 
     /** Decides and writes, if the last write is settled. */
     private fun cycle() {
+        cycleAt = desk.now + CYCLE_PERIOD
         if (!loaded || over || !leadership.sure || !ledger.ready) return
-        planner.plan(ledger.admitter())
+        if (planned != cluster.changes || desk.now >= planAt) {
+            planned = cluster.changes
+            planAt = desk.now + PLAN_PERIOD
+            planner.plan(ledger.admission())
+        }
         ledger.flush()
     }
 
@@ -141,8 +157,7 @@
     fun progressOf(id: JobId): Progress? = cluster.jobs[id]?.let { progressOf(it) }
 
     private fun progressOf(job: Job): Progress {
-        val running = job.placements.values.count { it.runningSince != null }
-        return Progress(job.id.value, job.doneCount, running)
+        return Progress(job.id.value, job.doneCount, job.running)
     }
 
     // Reading what is stored.
@@ -189,7 +204,7 @@
         pages: List<Item>,
         condemned: List<Item>,
     ) {
-        for (item in open.items) addJob(JobRecord.of(item.data), Stamp(item.stamp))
+        for (item in open.items) addJob(item.data, Stamp(item.stamp))
         val byJob = pages.groupBy { it.key.removePrefix(Job.PAGES).substringBefore('/') }
         val missing = byJob.keys.map { JobId(it) }.filter { it !in cluster.jobs }
         loadOver(own, missing) { finishLoad(open.epoch, byJob, condemned) }
@@ -205,6 +220,10 @@
                 return@get
             }
             val record = JobRecord.of(result.value.data)
+            if (record == null) {
+                loadOver(own, missing.drop(1), then)
+                return@get
+            }
             // A done job's record holds no description, and nothing of it is on a machine.
             val spec = record.spec ?: doneSpec(id)
             val job = Job(spec, Stamp(result.value.stamp), Micros(record.acceptedAt), pageSize)
@@ -219,7 +238,7 @@
         for ((id, items) in pages) {
             val job = cluster.jobs[JobId(id)] ?: continue
             for (item in items) {
-                val page = item.key.substringAfterLast('/').toInt()
+                val page = item.key.substringAfterLast('/').toIntOrNull() ?: continue
                 val placed = job.load(page, item.stamp, item.data)
                 if (job.finished) {
                     job.placements.clear()
@@ -254,10 +273,12 @@
         machine.deleting = true
     }
 
-    private fun addJob(record: JobRecord, stamp: Stamp) {
+    private fun addJob(stored: JsonElement, stamp: Stamp) {
+        val record = JobRecord.of(stored) ?: return
         val spec = record.spec ?: return
         if (spec.jobId in cluster.jobs) return
         cluster.jobs[spec.jobId] = Job(spec, stamp, Micros(record.acceptedAt), pageSize)
+        cluster.changed()
     }
 
     private fun watch() {
@@ -283,12 +304,12 @@
         val put = event.put
         val removed = event.remove
         if (put != null && event.data != null) {
-            addJob(JobRecord.of(event.data), Stamp(event.stamp))
+            addJob(event.data, Stamp(event.stamp))
         } else if (removed != null) {
             val job = cluster.jobs[JobId(removed.removePrefix(JobRecord.OPEN_PREFIX))] ?: return
             if (job.finished || job.over || job.complete) return
             log.info("{} is cancelled; {} tasks are out", job.id, job.placements.size)
-            job.over = true
+            cluster.end(job)
         }
     }
 
@@ -323,7 +344,7 @@
         // Its user has cancelled it; the watch will say so too.
         if (!job.finished) {
             log.info("{} was cancelled meanwhile", job.id)
-            job.over = true
+            cluster.end(job)
         }
     }
 
@@ -368,6 +389,8 @@
         val WATCH_PAUSE = 80.millis
         val WATCH_RETRY = 400.millis
         val PREEMPT_PERIOD = 500.millis
+        val PLAN_PERIOD = 500.millis
+        val CYCLE_PERIOD = 50.millis
         const val MOST_PROGRESS = 500
     }
 }
--- a/src/main/kotlin/wardmux/peers/Beat.kt
+++ b/src/main/kotlin/wardmux/peers/Beat.kt
@@ -2,15 +2,21 @@
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 
 /** How far a job is, for display. */
 @Serializable data class Progress(val job: String, val done: Int, val running: Int)
 
-/** The leader's word to its siblings, about once a second. */
+/** A controller's word to its siblings, about once a second. */
 @Serializable
-data class Beat(val member: String, val token: Long, val progress: List<Progress> = emptyList())
+data class Beat(
+    val member: String,
+    /** The leader's token; null from all others. */
+    val token: Long? = null,
+    /** How long ago the state service last answered it, in microseconds. */
+    val stateSilence: Long = 0,
+    val progress: List<Progress> = emptyList(),
+)
 
 @OptIn(ExperimentalSerializationApi::class)
 object BeatCodec {
@@ -18,12 +24,11 @@
 
     fun encode(beat: Beat): ByteArray = cbor.encodeToByteArray(Beat.serializer(), beat)
 
+    /** Null if it is none; on bytes that are no CBOR the decoder fails in more than one way. */
     fun decode(bytes: ByteArray): Beat? =
         try {
             cbor.decodeFromByteArray(Beat.serializer(), bytes)
-        } catch (e: SerializationException) {
-            null
-        } catch (e: IllegalArgumentException) {
+        } catch (e: RuntimeException) {
             null
         }
 }
--- a/src/main/kotlin/wardmux/peers/Peers.kt
+++ b/src/main/kotlin/wardmux/peers/Peers.kt
@@ -7,30 +7,55 @@
 import wardmux.millis
 import wardmux.secs
 
-/** Talk between the controllers: the leader tells who leads and how far the jobs are. */
+/**
+ * Talk between the controllers: each tells the others that it lives and whether the state service
+ * answers it; the leader also who leads and how far the jobs are.
+ */
 class Peers(
     private val desk: Desk,
     private val member: String,
     private val siblings: List<String>,
 ) {
+    private class Heard(val at: Micros, val stateSilence: Micros)
+
     private var beatAt = Micros.ZERO
     private val busy = HashSet<String>()
+    private val heard = HashMap<String, Heard>()
     private var progress = emptyMap<String, Progress>()
     private var progressAt = Micros.LONG_AGO
+    private var progressToken = 0L
+
+    fun knows(member: String) = member in siblings
 
     /** The leader's counts for [job], if they are recent. */
     fun progressOf(job: String): Progress? =
         if (desk.now - progressAt < STALE) progress[job] else null
 
     fun received(beat: Beat) {
+        heard[beat.member] = Heard(desk.now, Micros(beat.stateSilence))
+        val token = beat.token ?: return
+        // A late copy of what a former leader said.
+        if (token < progressToken) return
+        progressToken = token
         progress = beat.progress.associateBy { it.job }
         progressAt = desk.now
     }
 
-    fun lead(token: Token, progress: () -> List<Progress>) {
+    /**
+     * With the state service silent for this controller: true if it answers a sibling, or if no
+     * sibling is heard either, so that it is this controller that is cut off.
+     */
+    fun othersFareBetter(patience: Micros): Boolean {
+        if (siblings.isEmpty()) return false
+        val lately = heard.values.filter { desk.now - it.at < STALE }
+        return lately.isEmpty() || lately.any { it.stateSilence < patience }
+    }
+
+    fun tick(token: Token?, stateAnsweredAt: Micros, progress: () -> List<Progress>) {
         if (desk.now < beatAt) return
         beatAt = desk.now + PERIOD
-        val body = BeatCodec.encode(Beat(member, token.value, progress()))
+        val silence = (desk.now - stateAnsweredAt).value
+        val body = BeatCodec.encode(Beat(member, token?.value, silence, progress()))
         for (sibling in siblings) {
             if (!busy.add(sibling)) continue
             desk.send(Target.Sibling(sibling), "POST", PATH, body, TIMEOUT) { busy.remove(sibling) }
--- a/src/main/kotlin/wardmux/store/StateStore.kt
+++ b/src/main/kotlin/wardmux/store/StateStore.kt
@@ -46,7 +46,11 @@
 )
 
 @Serializable
-private class MultiWire(@SerialName("if") val conditions: List<Condition>, val then: List<Change>)
+private class MultiWire(
+    @SerialName("if") val conditions: List<Condition>,
+    /** Null: the transaction only compares. */
+    val then: List<Change>?,
+)
 
 @Serializable private class CommittedWire(val epoch: Long)
 
@@ -111,7 +115,14 @@
     private var requestTokens = 0.0
     private var writeTokens = 0.0
     private var refilledAt: Micros? = null
-    private var share = FOLLOWER_WEIGHT / (nodes + LEADER_WEIGHT - 1.0)
+    private var leading = false
+
+    /** Nothing but leases is sent until then: the service has refused for its limits. */
+    private var pausedUntil = Micros.LONG_AGO
+
+    /** When the service last carried something out for this controller. */
+    var answeredAt = desk.now
+        private set
 
     /** The most changes that one transaction may hold. */
     val maxChanges: Int
@@ -123,12 +134,22 @@
     val maxValueBytes: Int
         get() = (facts.valueKb * 1024).toInt()
 
-    /** The leader writes for all, so it gets the larger part. */
+    /** The leader writes for all, so most changes are its; most requests are users' questions. */
     fun lead(leading: Boolean) {
-        val weight = if (leading) LEADER_WEIGHT else FOLLOWER_WEIGHT
-        share = weight / (nodes + LEADER_WEIGHT - 1.0)
+        this.leading = leading
     }
 
+    private fun share(leaders: Double): Double =
+        when {
+            nodes <= 1 -> 1.0
+            leading -> leaders
+            else -> (1 - leaders) / (nodes - 1)
+        }
+
+    /** Changes that this controller could make now and still have half of its burst left. */
+    val writesToSpare: Int
+        get() = (writeTokens - writeBurst() / 2).toInt()
+
     fun get(key: String, priority: Priority = Priority.READ, then: (Result<Item>) -> Unit) {
         submit(priority, 0, "GET", "/keys/$key", "", READ_TIMEOUT, then) { status, text ->
             when (status) {
@@ -141,12 +162,14 @@
     }
 
     /** All keys under [prefix] and the revision of the first page, or null if they can't be had. */
-    fun scan(prefix: String, then: (Scan?) -> Unit) = scanPage(prefix, null, ArrayList(), 0, then)
+    fun scan(prefix: String, priority: Priority = Priority.LEADER, then: (Scan?) -> Unit) =
+        scanPage(prefix, priority, null, ArrayList(), 0, then)
 
     class Scan(val items: List<Item>, val epoch: Long)
 
     private fun scanPage(
         prefix: String,
+        priority: Priority,
         from: String?,
         found: MutableList<Item>,
         firstEpoch: Long,
@@ -159,7 +182,7 @@
                 val epoch = if (from == null) page.epoch else firstEpoch
                 found.addAll(page.items)
                 if (page.truncated && page.items.isNotEmpty()) {
-                    scanPage(prefix, page.items.last().key, found, epoch, then)
+                    scanPage(prefix, priority, page.items.last().key, found, epoch, then)
                 } else {
                     then(Scan(found, epoch))
                 }
@@ -167,7 +190,7 @@
                 then(null)
             }
         }
-        submit(Priority.LEADER, 0, "GET", path, "", READ_TIMEOUT, answer) { status, text ->
+        submit(priority, 0, "GET", path, "", READ_TIMEOUT, answer) { status, text ->
             if (status == 200) Result.Ok(lenientJson.decodeFromString(PageWire.serializer(), text))
             else failure(status)
         }
@@ -180,10 +203,10 @@
         priority: Priority,
         then: (Result<Long>) -> Unit,
     ) {
-        val body =
-            lenientJson.encodeToString(MultiWire.serializer(), MultiWire(conditions, changes))
-        submit(priority, changes.size, "POST", "/multi", body, WRITE_TIMEOUT, then) { status, text
-            ->
+        val wire = MultiWire(conditions, changes.ifEmpty { null })
+        val body = lenientJson.encodeToString(MultiWire.serializer(), wire)
+        val timeout = if (changes.isEmpty()) READ_TIMEOUT else WRITE_TIMEOUT
+        submit(priority, changes.size, "POST", "/multi", body, timeout, then) { status, text ->
             when (status) {
                 200 ->
                     Result.Ok(lenientJson.decodeFromString(CommittedWire.serializer(), text).epoch)
@@ -251,21 +274,29 @@
         then: (Result<T>) -> Unit,
         read: (Int, String) -> Result<T>,
     ) {
-        val request =
-            Request(
-                writes,
-                desk.now + QUEUE_TIME,
-                send = {
-                    desk.send(Target.State, method, path, body.encodeToByteArray(), timeout) {
-                        then(interpret(it, read))
-                    }
-                },
-                refuse = { then(Result.Refused) },
-            )
-        queues[priority.ordinal].addLast(request)
+        val bytes = body.encodeToByteArray()
+        val deadline = desk.now + QUEUE_TIME
+        val queue = queues[priority.ordinal]
+        lateinit var request: Request
+        val send = {
+            desk.send(Target.State, method, path, bytes, timeout) { outcome ->
+                if (limited(outcome) && desk.now < deadline) {
+                    // Others had used up the limits for now.
+                    pausedUntil = desk.now + LIMITED_PAUSE
+                    queue.addFirst(request)
+                } else {
+                    if (outcome is Outcome.Response && outcome.status != 503) answeredAt = desk.now
+                    then(interpret(outcome, read))
+                }
+            }
+        }
+        request = Request(writes, deadline, send, refuse = { then(Result.Refused) })
+        queue.addLast(request)
         pump()
     }
 
+    private fun limited(outcome: Outcome) = outcome is Outcome.Response && outcome.status == 429
+
     private fun <T> interpret(outcome: Outcome, read: (Int, String) -> Result<T>): Result<T> =
         when (outcome) {
             is Outcome.Unsent -> Result.Refused
@@ -291,7 +322,7 @@
                     continue
                 }
                 val lease = queue === queues[Priority.LEASE.ordinal]
-                if (!lease && requestTokens < 1) return
+                if (!lease && (requestTokens < 1 || desk.now < pausedUntil)) return
                 if (!lease && writeTokens < request.writes) break
                 requestTokens -= 1
                 writeTokens -= request.writes
@@ -302,19 +333,26 @@
     }
 
     private fun refill() {
-        val rate = facts.rps * share * MARGIN
-        val writeRate = facts.writeRps * share * MARGIN
+        val rate = facts.rps * share(LEADERS_REQUESTS) * MARGIN
         val elapsed = refilledAt?.let { (desk.now - it).seconds } ?: 1.0
         refilledAt = desk.now
         requestTokens = (requestTokens + elapsed * rate).coerceAtMost(rate)
-        // A whole transaction must fit, or it would wait for ever.
-        val writeBurst = maxOf(writeRate, facts.txnOps.toDouble())
-        writeTokens = (writeTokens + elapsed * writeRate).coerceAtMost(writeBurst)
+        writeTokens = (writeTokens + elapsed * writeRate()).coerceAtMost(writeBurst())
     }
 
+    private fun writeRate() = facts.writeRps * share(LEADERS_WRITES) * MARGIN
+
+    /** A whole transaction must fit, or it would wait for ever; only a leader's are large. */
+    private fun writeBurst() =
+        maxOf(writeRate(), if (leading) facts.txnOps.toDouble() else USER_CHANGES)
+
     private companion object {
-        const val LEADER_WEIGHT = 3.0
-        const val FOLLOWER_WEIGHT = 1.0
+        const val LEADERS_REQUESTS = 0.3
+        const val LEADERS_WRITES = 0.6
+
+        /** What a submission or a cancellation changes, twice over. */
+        const val USER_CHANGES = 4.0
+        val LIMITED_PAUSE = 150.millis
         const val MARGIN = 0.95
         val QUEUE_TIME = 1_200.millis
         val READ_TIMEOUT = 1_500.millis
--- a/src/test/kotlin/wardmux/dispatch/JobPageTest.kt
+++ b/src/test/kotlin/wardmux/dispatch/JobPageTest.kt
@@ -21,8 +21,8 @@
             val size = Job.pageSize(limit)
             val job = Job(spec, Stamp(1), Micros.ZERO, size)
             val last = (spec.tasks - 1) / size
-            for (task in last * size until spec.tasks) job.place(widest(job, task))
-            for (task in 0 until size) job.place(widest(job, task))
+            for (task in last * size until spec.tasks) job.place(widest(job, task), Micros.ZERO)
+            for (task in 0 until size) job.place(widest(job, task), Micros.ZERO)
             for (page in listOf(0, last)) {
                 assertTrue(job.page(page).toString().length <= limit, "page $page of $size tasks")
             }
@@ -35,10 +35,9 @@
             job,
             TaskId(job.id, task),
             1_000_000,
-            MachineId("i-00000000"),
+            MachineId("i-${10_000_000 + task}"),
             1_000_000,
             "a-zone-of-some-length",
-            Charge(Cost(999_999_999_999), 1234.567),
-            Micros(1_800_000_000_000_000),
+            Charge(Cost(999_999_000_000 + task), 1230.0 + task % 9),
         )
 }
--- a/src/test/kotlin/wardmux/lead/TakeOverTest.kt
+++ b/src/test/kotlin/wardmux/lead/TakeOverTest.kt
@@ -44,8 +44,7 @@
         rig.write(
             "t/job-000001/0",
             Json.parseToJsonElement(
-                """{"d":[],"a":[],"p":[{"task":0,"attempt":1,"machine":"$machine","shift":1,""" +
-                    """"zone":"$zone","cost":1,"weight":1.0,"at":0}]}"""
+                """{"c":[1],"w":[1.0],"z":["$zone"],"m":["$machine"],"n":[1,0,1,0,1,0]}"""
             ),
         )
 
--- a/src/test/kotlin/wardmux/sim/Rig.kt
+++ b/src/test/kotlin/wardmux/sim/Rig.kt
@@ -32,7 +32,7 @@
 class Rig(settings: PlatformSettings = SETTINGS) {
     private val clock = Clockwork(1)
     private val state = StateStandIn(clock, settings.facts.state)
-    private val core = Controller(settings, OperatorSettings(), 7)
+    private val core = Controller(settings, OperatorSettings(), "rig")
     private val answers = HashMap<Long, Pair<Int, String>>()
     private var calls = 0L
 
--- a/src/test/kotlin/wardmux/sim/World.kt
+++ b/src/test/kotlin/wardmux/sim/World.kt
@@ -67,7 +67,7 @@
         val drift = 1.0 + clock.random.nextDouble(-0.0005, 0.0005)
         val offset = clock.between(Micros.ZERO, 100.millis)
         val answers = HashMap<Long, (Int, String) -> Unit>()
-        val core = Controller(settings(member), operators, ++boots)
+        val core = Controller(settings(member), operators, "${++boots}")
         var alive = true
 
         fun feed(input: Input) {
