Dear machines come free first, idle ones are kept for nine tenths of a boot time

Changed: price counts in the choice of a machine; the time an idle machine is kept follows the type's boot time (same for a boot of 50 s); followers may save up a third of a second's changes, so that two submissions at once to one controller are not told to come back.

--- a/src/main/kotlin/wardmux/app/OperatorSettings.kt
+++ b/src/main/kotlin/wardmux/app/OperatorSettings.kt
@@ -20,8 +20,8 @@
     @SerialName("quiet_reports") val quietReports: Double = 2.5,
     /** Reports missed before a machine is given up and deleted; its tasks run elsewhere. */
     @SerialName("lost_reports") val lostReports: Double = 4.0,
-    /** Time an idle machine is kept. */
-    @SerialName("idle_keep_s") val idleKeepS: Double = 45.0,
+    /** Time an idle machine is kept, in boot times of its type. */
+    @SerialName("idle_keep_boots") val idleKeepBoots: Double = 0.9,
     /** Room kept free for urgent work, as a share of what is in use. */
     @SerialName("spare_share") val spareShare: Double = 0.15,
     /** Wait after which urgent work may stop work of a lower urgency. */
@@ -43,7 +43,7 @@
                 range("lease_margin_s", leaseMarginS, 0.1, 60.0),
                 range("quiet_reports", quietReports, 1.5, 100.0),
                 range("lost_reports", lostReports, quietReports, 1000.0),
-                range("idle_keep_s", idleKeepS, 0.0, 86400.0),
+                range("idle_keep_boots", idleKeepBoots, 0.0, 1000.0),
                 range("spare_share", spareShare, 0.0, 10.0),
                 range("preempt_after_s", preemptAfterS, 0.0, 3600.0),
                 range("call_back_after_s", callBackAfterS, 0.0, 3600.0),
--- a/src/main/kotlin/wardmux/cloud/Hiring.kt
+++ b/src/main/kotlin/wardmux/cloud/Hiring.kt
@@ -45,6 +45,7 @@
     private var listed = false
     private var deleteAt = Micros.LONG_AGO
     private val hiring = HashMap<String, HireOrder>()
+    private val spending = Spending()
     private val absolveAt = ArrayDeque<Pair<Micros, Machine>>()
     private val retryAt = HashMap<String, Micros>()
 
@@ -66,6 +67,7 @@
         if (desk.now >= decideAt && informed) {
             decideAt = desk.now + PERIOD
             decide()
+            spending.tell(desk.now, cluster.machines.values)
         }
     }
 
@@ -297,9 +299,8 @@
     private fun giveBack(own: List<Machine>, surplus: Double, spot: Boolean) {
         var left = (surplus + 1 - SURPLUS).toInt()
         for (machine in own.filter { it.up && it.empty && !it.condemned && it.spot == spot }) {
-            // A dear machine is kept for as much shorter as it costs more.
-            val dearness = if (spot) 1.0 else machine.type.spotPrice / machine.type.price
-            val keep = (operators.idleKeepS * dearness).secs
+            // To boot it again would cost about as much; a dear one is kept for as much shorter.
+            val keep = (operators.idleKeepBoots * machine.type.bootS / machine.dearness).secs
             if (desk.now - machine.idleSince <= keep) continue
             if (left-- <= 0) return
             condemn(machine, "idle")
--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -264,10 +264,15 @@
         return zones
     }
 
-    /** Seconds until the task could start, then how much room would be left over. */
+    /**
+     * Seconds until the task could start, what the machine costs beyond the cheapest of its type,
+     * and how much room would be left over: so that dear machines come free first.
+     */
     private fun score(spec: JobSpec, machine: Machine): Double {
         val fetch = machine.imageWait(spec.image, spec.imageGb, desk.now)
-        return fetch.seconds * FETCH_WEIGHT + (machine.freeCpus - spec.cpus) / machine.type.cpus
+        return fetch.seconds * FETCH_WEIGHT +
+            (machine.dearness - 1) * DEAR_WEIGHT +
+            (machine.freeCpus - spec.cpus) / machine.type.cpus
     }
 
     fun stop(victim: Placement, why: String) {
@@ -281,6 +286,7 @@
 
     private companion object {
         const val FETCH_WEIGHT = 0.5
+        const val DEAR_WEIGHT = 0.5
         const val SAVE_MARGIN_S = 1.0
         val SCARCE_AFTER = 4.secs
         val UNANSWERED = 1.secs
--- a/src/main/kotlin/wardmux/fleet/Machine.kt
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -86,6 +86,9 @@
     private var usedGpus = 0.0
     private var usedMemory = 0.0
 
+    /** Its price, where a spot machine of its type costs 1. */
+    val dearness: Double = if (spot) 1.0 else type.price / maxOf(type.spotPrice, 1e-6)
+
     val up: Boolean
         get() = heardAt != null
 
--- a/src/main/kotlin/wardmux/store/StateStore.kt
+++ b/src/main/kotlin/wardmux/store/StateStore.kt
@@ -344,14 +344,17 @@
 
     /** A whole transaction must fit, or it would wait for ever; only a leader's are large. */
     private fun writeBurst() =
-        maxOf(writeRate(), if (leading) facts.txnOps.toDouble() else USER_CHANGES)
+        maxOf(writeRate(), if (leading) facts.txnOps.toDouble() else facts.writeRps * USERS_BURST)
 
     private companion object {
         const val LEADERS_REQUESTS = 0.3
         const val LEADERS_WRITES = 0.6
 
-        /** What a submission or a cancellation changes, twice over. */
-        const val USER_CHANGES = 4.0
+        /**
+         * Users come in bunches: what a follower may save up, as a part of what all may do in a
+         * second. Where several bunches meet, the service refuses and they are sent again.
+         */
+        const val USERS_BURST = 0.33
         val LIMITED_PAUSE = 150.millis
         const val MARGIN = 0.95
         val QUEUE_TIME = 1_200.millis
