--- a/src/main/kotlin/wardmux/app/OperatorSettings.kt
+++ b/src/main/kotlin/wardmux/app/OperatorSettings.kt
@@ -27,7 +27,7 @@
     /** Wait after which urgent work may stop work of a lower urgency. */
     @SerialName("preempt_after_s") val preemptAfterS: Double = 2.5,
     /** Wait after which a team below its guarantee may stop what another runs beyond its own. */
-    @SerialName("call_back_after_s") val callBackAfterS: Double = 10.0,
+    @SerialName("call_back_after_s") val callBackAfterS: Double = 40.0,
     /** How long a kind of machine that was refused is left alone. */
     @SerialName("refused_pause_s") val refusedPauseS: Double = 15.0,
     /** Wait after which a job that has not begun goes before all others of its team. */
--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -35,6 +35,11 @@
     private val types: () -> List<MachineType>,
 ) {
     private val log = logger<Planner>()
+
+    /** Machines looked at so far: what decisions cost. */
+    var looks = 0L
+        private set
+
     private val order = TeamOrder(objectives, cluster.estimates, operators.longestWaitS.secs)
 
     /** Places what it can while [admission] has room for the job's page in the write to come. */
@@ -94,6 +99,7 @@
         private fun candidates(job: Job): List<Machine> {
             val spec = job.spec
             val exactType = if (exact) exactFor(spec) else null
+            looks += round.open.size
             return round.open.filter { machine ->
                 (!exact || machine.type.label == exactType) &&
                     allowed(spec, machine) &&
@@ -123,6 +129,7 @@
             val zones = zonesOf(job)
             while (true) {
                 val seat = queue.peek() ?: return null
+                looks++
                 val machine = seat.machine
                 if (!machine.fits(job.spec) || !mayGoTo(machine.zone, job.spec, zones)) {
                     queue.poll()
--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -378,7 +378,7 @@
     /** A completed task is recorded before the only other place that knows of it forgets. */
     private fun mayForget(machine: Machine, reported: ReportedTask): Boolean {
         if (reported.task to reported.attempt in machine.loose) return false
-        if (reported.cause != "done") return machine.endedFor(reported, desk.now) > forgetAfter
+        if (reported.cause != "done") return machine.mayForget(reported, desk.now, keepEnded)
         val task = TaskId.parse(reported.task) ?: return true
         val job = cluster.jobs[task.job] ?: return true
         return job.over || job.isRecorded(task.index)
@@ -464,10 +464,11 @@
     private var watchAt = Micros.LONG_AGO
 
     /**
-     * A copy of a direct start may come late, and would start a forgotten attempt again, beside the
-     * next one. What is done is not run again by it; all else is forgotten only after this.
+     * A copy of a direct start may come late, and would start a forgotten attempt again: beside the
+     * next one, or of a job that was cancelled since. What is done is not run again by it; all else
+     * is forgotten only after this, or with its session.
      */
-    private val forgetAfter = workers.leaseS.secs + workers.leaseS.secs
+    private val keepEnded = (workers.leaseS * KEPT_LEASES).secs
 
     /** Direct orders under way. */
     private var directOpen = 0
@@ -485,6 +486,7 @@
         /** Each takes a connection of its own. */
         const val MOST_DIRECT_OPEN = 96
         val WATCH_PERIOD = 400.millis
+        const val KEPT_LEASES = 10.0
         val SEND_ON_AFTER = 2.secs
         const val SEND_ON_PART = 0.5
 
--- a/src/main/kotlin/wardmux/fleet/Machine.kt
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -43,11 +43,18 @@
      */
     val loose = HashSet<Pair<String, Int>>()
 
-    /** Attempts that ended otherwise than done, and when that was first reported. */
-    val endedSince = HashMap<Pair<String, Int>, Micros>()
-
-    fun endedFor(reported: ReportedTask, now: Micros): Micros =
-        now - endedSince.getOrPut(reported.task to reported.attempt) { now }
+    /** Attempts that ended otherwise than done, the oldest first: when that was first reported. */
+    val endedSince = LinkedHashMap<Pair<String, Int>, Micros>()
+
+    /** True for one that ended more than [kept] ago, or for the oldest of very many. */
+    fun mayForget(reported: ReportedTask, now: Micros, kept: Micros): Boolean {
+        val attempt = reported.task to reported.attempt
+        val since = endedSince.getOrPut(attempt) { now }
+        val many = endedSince.size > MOST_ENDED && endedSince.keys.first() == attempt
+        if (!many && now - since <= kept) return false
+        endedSince.remove(attempt)
+        return true
+    }
 
     /** It has reported under this leader's token, so no earlier leader can order it about. */
     var confirmed = false
@@ -190,4 +197,8 @@
     private fun fetchTime(gb: Double) = (gb / type.fetchGbPerS).secs
 
     private class Image(val gb: Double, var readyAt: Micros)
+
+    private companion object {
+        const val MOST_ENDED = 64
+    }
 }
--- a/src/main/kotlin/wardmux/lead/Term.kt
+++ b/src/main/kotlin/wardmux/lead/Term.kt
@@ -215,12 +215,14 @@
         val id = missing.firstOrNull() ?: return then()
         store.get(JobRecord.key(id), Priority.LEADER) { result ->
             if (stale(own)) return@get
-            if (result !is Result.Ok) {
+            if (result !is Result.Ok && result !is Result.Absent) {
                 loadAt = desk.now + LOAD_RETRY
                 return@get
             }
-            val record = JobRecord.of(result.value.data)
-            if (record == null) {
+            val record = (result as? Result.Ok)?.let { JobRecord.of(it.value.data) }
+            if (result !is Result.Ok || record == null) {
+                // Pages of no job that could be read: reading again would not help.
+                log.error("{} has pages and no record", id)
                 loadOver(own, missing.drop(1), then)
                 return@get
             }
--- /dev/null
+++ b/src/test/kotlin/wardmux/fleet/FleetTest.kt
@@ -0,0 +1,92 @@
+package wardmux.fleet
+
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import wardmux.Outcome
+import wardmux.secs
+import wardmux.sim.ByHand
+import wardmux.sim.Rig
+import wardmux.sim.plainJob
+
+/** What reports and unanswered orders prove of a machine, and what they do not. */
+class FleetTest {
+    private val rig = Rig()
+    private val first = ByHand(rig, "i-000001")
+    private val second = ByHand(rig, "i-000002")
+
+    private fun deletions(machine: String) =
+        rig.cloud.count { it.startsWith("/machines/delete") && machine in it }
+
+    private fun startsOf(task: String) = rig.direct.count { "\"start\"" in it && task in it }
+
+    @Test
+    fun `a machine that orders do not reach gets no more, and only its deletion frees the task`() {
+        rig.run(2.secs)
+        val token = first.token()
+        first.hello(token)
+        rig.directOutcome = Outcome.Unknown
+        rig.accept(plainJob(1))
+        repeat(4) { rig.run(0.5.secs) }
+        assertEquals(1, startsOf("job-000001/0"))
+        // Its reports go on, and none shows the task.
+        repeat(3) {
+            first.hello(token)
+            second.hello(token)
+            rig.run(1.secs)
+        }
+        rig.accept(plainJob(1, "job-000002"))
+        repeat(20) {
+            first.report(token)
+            second.report(token)
+            rig.run(1.secs)
+        }
+        assertTrue(deletions("i-000001") > 0, "kept, though orders do not reach it")
+        assertEquals(0, startsOf(""""job-000001/0","try":2"""), "started while it may still start")
+        assertEquals(1, startsOf("job-000002/0"))
+    }
+
+    @Test
+    fun `a copy of an old report is no sign of life and brings no machine back`() {
+        rig.run(2.secs)
+        rig.accept(plainJob(1))
+        // Under an older token, over and over: all that a leader knows of a machine long gone.
+        repeat(40) {
+            first.report(0, at = 7)
+            rig.run(1.secs)
+        }
+        assertEquals(0, startsOf("job-000001/0"))
+        assertTrue(deletions("i-000001") > 0, "kept for the copies' sake")
+    }
+
+    @Test
+    fun `copies do not keep a silent machine alive`() {
+        rig.run(2.secs)
+        val token = first.token()
+        first.hello(token)
+        repeat(14) {
+            rig.run(1.secs)
+            first.report(token, at = 1)
+        }
+        assertTrue(deletions("i-000001") > 0, "a copy counted as a sign of life")
+    }
+
+    @Test
+    fun `an attempt that was stopped is not forgotten while a copy of its start may come`() {
+        rig.accept(plainJob(1))
+        rig.run(2.secs)
+        val token = first.token()
+        first.hello(token)
+        rig.run(1.secs)
+        val stopped = """{"piece":"job-000001/0","try":1,"status":"ended","cause":"stopped"}"""
+        val again = """{"piece":"job-000001/0","try":2,"status":"running"}"""
+        val answers =
+            List(170) {
+                rig.run(1.secs)
+                first.hello(token, "$stopped,$again")
+            }
+        assertTrue(answers.take(150).none { "forget" in it })
+        assertContains(answers.drop(150).joinToString(), "forget")
+    }
+}
--- a/src/test/kotlin/wardmux/lead/TakeOverTest.kt
+++ b/src/test/kotlin/wardmux/lead/TakeOverTest.kt
@@ -6,39 +6,17 @@
 import kotlin.test.assertFalse
 import kotlinx.serialization.json.Json
 import wardmux.intake.JobRecord
-import wardmux.intake.JobSpec
 import wardmux.intake.JobState
-import wardmux.intake.Shape
-import wardmux.intake.Urgency
 import wardmux.secs
+import wardmux.sim.ByHand
 import wardmux.sim.Rig
+import wardmux.sim.plainJob
 
 /** What a new leader makes of what it finds; each test is a failure that was once found. */
 class TakeOverTest {
     private val rig = Rig()
 
-    private fun spec(tasks: Int, oneZone: Boolean = false) =
-        JobSpec(
-            "job-000001",
-            "c",
-            "team-0",
-            Shape.BATCH,
-            Urgency.HIGH,
-            tasks,
-            2.0,
-            0.0,
-            1.0,
-            "img",
-            0.5,
-            types = null,
-            zone = null,
-            oneZone = oneZone,
-            spread = false,
-            spot = true,
-            estimateS = 50.0,
-            checkpointS = 0.0,
-            saveS = 0.0,
-        )
+    private fun spec(tasks: Int, oneZone: Boolean = false) = plainJob(tasks, oneZone = oneZone)
 
     private fun placed(machine: String, zone: String) =
         rig.write(
@@ -50,17 +28,10 @@
 
     private var tick = 0
 
-    private fun hello(machine: String, zone: String, token: Long, tasks: String = ""): String {
-        val body =
-            """{"box":"$machine","endpoint":"10.0.0.9:9","boxkind":"mid","ward":"$zone","loaners":""" +
-                """false,"shift":1,"tick":${++tick},"baton":$token,"pieces":[$tasks]}"""
-        val answer = rig.call("POST", "/hello", body.encodeToByteArray())
-        assertEquals(200, answer?.first)
-        return answer?.second.orEmpty()
-    }
+    private fun hello(machine: String, zone: String, token: Long, tasks: String = ""): String =
+        ByHand(rig, machine, zone).also { it.tick = tick++ }.hello(token, tasks)
 
-    private fun token(): Long =
-        Regex("\"baton\":(\\d+)").find(hello("i-000099", "a", 0))!!.groupValues[1].toLong()
+    private fun token(): Long = ByHand(rig, "i-000099").also { it.tick = tick++ }.token()
 
     @Test
     fun `a job cancelled between two readings of what is stored is taken down`() {
--- a/src/test/kotlin/wardmux/sim/Clockwork.kt
+++ b/src/test/kotlin/wardmux/sim/Clockwork.kt
@@ -51,6 +51,15 @@
     /** Part of the requests that are carried out long after the asker has given up. */
     var late = 0.0
 
+    /** Part of the messages of which a copy arrives once more, long after. */
+    var copies = 0.0
+
+    /** What messages to a host take longer. */
+    val slow = HashMap<String, Micros>()
+
+    /** Pairs of hosts of which the first does not reach the second; what is sent is lost. */
+    private val apart = HashSet<Pair<String, String>>()
+
     /** Names of hosts that nobody reaches; what is sent to them is held until they are back. */
     private val cut = HashSet<String>()
     private val held = HashMap<String, MutableList<() -> Unit>>()
@@ -64,15 +73,32 @@
         held.remove(host)?.forEach { clock.after(delay(), it) }
     }
 
+    /** What [from] sends no longer reaches [to]; the other way it still does. */
+    fun part(from: String, to: String) {
+        apart.add(from to to)
+    }
+
+    fun join(from: String, to: String) {
+        apart.remove(from to to)
+    }
+
+    /** Again, from seconds to well over a lease later; nobody hears the answer. */
+    fun copy(action: () -> Unit) {
+        if (copies > 0 && clock.chance(copies)) {
+            clock.after(clock.between(200.millis, 45_000.millis), action)
+        }
+    }
+
     fun delay(): Micros = clock.between(1.millis, 8.millis)
 
     fun send(from: String, to: String, action: () -> Unit) {
         when {
+            from to to in apart -> Unit
             from in cut -> held.getOrPut(from) { ArrayList() }.add(action)
             to in cut -> held.getOrPut(to) { ArrayList() }.add(action)
             clock.chance(loss) -> Unit
             clock.chance(late) -> clock.after(clock.between(2_000.millis, 40_000.millis), action)
-            else -> clock.after(delay(), action)
+            else -> clock.after(delay() + (slow[to] ?: Micros.ZERO), action)
         }
     }
 }
--- a/src/test/kotlin/wardmux/sim/RandomDaysTest.kt
+++ b/src/test/kotlin/wardmux/sim/RandomDaysTest.kt
@@ -11,7 +11,7 @@
 
 /** Seeded days with troubles of every kind, alone and together; the rules hold after each step. */
 class RandomDaysTest {
-    private class Day(seed: Long) {
+    private class Day(seed: Long, private val grown: Boolean = false) {
         val world = World(seed)
         private val clock = world.clock
         val jobs = ArrayList<String>()
@@ -69,6 +69,72 @@
                 { repeat(6) { submit() } },
             )
 
+        /** Those that came with the grown deployments; a list of its own keeps the days before. */
+        private val newTroubles: List<() -> Unit> =
+            listOf(
+                { for (worker in someWorkers(3)) deaf(worker.id, clock.between(5.secs, 60.secs)) },
+                { for (worker in someWorkers(2)) for (node in world.nodes) apart(node, worker.id) },
+                {
+                    world.network.copies = 0.2
+                    clock.after(40.secs) { world.network.copies = 0.0 }
+                },
+                {
+                    // What was sent before a machine's end arrives after its deletion.
+                    world.network.copies = 0.5
+                    someWorkers(2).forEach { world.cloud.kill(it) }
+                    clock.after(15.secs) { world.network.copies = 0.0 }
+                },
+                { world.leader()?.let { alone(it, clock.between(8.secs, 50.secs)) } },
+                { alone(someNode(), clock.between(8.secs, 50.secs)) },
+                {
+                    for (node in world.nodes) {
+                        world.crash(node, clock.between(20.millis, 400.millis))
+                    }
+                },
+                {
+                    // In the middle of the election that the first crash begins.
+                    world.leader()?.let { world.crash(it, clock.between(20.millis, 300.millis)) }
+                    clock.after(clock.between(10.millis, 5.secs)) {
+                        world.crash(someNode(), clock.between(20.millis, 300.millis))
+                    }
+                },
+                {
+                    val length = clock.between(5.secs, 40.secs)
+                    for (a in world.nodes) for (b in world.nodes) if (a != b) part(a, b, length)
+                },
+                { slow("state", 60.millis) },
+                { slow(someNode(), 500.millis) },
+            )
+
+        private fun part(from: String, to: String, length: Micros) {
+            world.network.part(from, to)
+            clock.after(length) { world.network.join(from, to) }
+        }
+
+        private fun apart(a: String, b: String) {
+            val length = clock.between(3.secs, 40.secs)
+            part(a, b, length)
+            if (clock.chance(0.5)) part(b, a, length)
+        }
+
+        /** Its reports arrive; answers and orders do not reach it. */
+        private fun deaf(worker: String, length: Micros) {
+            for (node in world.nodes) part(node, worker, length)
+        }
+
+        /** A controller without state service and siblings, but with its workers. */
+        private fun alone(member: String, length: Micros) {
+            for (other in world.nodes - member + "state") {
+                part(member, other, length)
+                part(other, member, length)
+            }
+        }
+
+        private fun slow(host: String, by: Micros) {
+            world.network.slow[host] = by
+            clock.after(30.secs) { world.network.slow.remove(host) }
+        }
+
         private fun outage(member: String?, length: Micros) {
             world.state.outage(member)
             clock.after(length) { world.state.back(member) }
@@ -95,10 +161,17 @@
             for (at in 2..150 step 7) clock.after(at.secs) { submit() }
             if (troubled) {
                 for (at in 10..170 step 9) {
-                    clock.after(at.secs) { troubles[clock.random.nextInt(troubles.size)]() }
+                    clock.after(at.secs) { trouble() }
                 }
             }
-            world.run(320.secs)
+            world.run(if (grown) 420.secs else 320.secs)
+            // The longest trouble lasts for 60 s, and late messages come up to 45 s after that.
+            if (grown) world.endOfDay(calm = 285.secs)
+        }
+
+        private fun trouble() {
+            val all = if (grown) troubles + newTroubles + newTroubles else troubles
+            all[clock.random.nextInt(all.size)]()
         }
     }
 
@@ -111,6 +184,15 @@
         assertTrue(day.world.rules.starts > 0, "nothing ran")
     }
 
+    @ParameterizedTest
+    @MethodSource("grownSeeds")
+    fun `nor with one-way networks, late copies, lone controllers and quick returns`(seed: Long) {
+        val day = Day(seed, grown = true)
+        day.play(troubled = true)
+        assertEquals(emptyList(), day.world.problems())
+        assertTrue(day.world.rules.starts > 0, "nothing ran")
+    }
+
     @Test
     fun `on a quiet day every job comes to its end`() {
         val day = Day(100)
@@ -122,10 +204,14 @@
 
     companion object {
         /** Others for a longer search: `-DargLine="-Dwardmux.days=100-500"`. */
-        @JvmStatic
-        fun seeds(): List<Long> {
-            val range = (System.getProperty("wardmux.days") ?: "1-24").split('-')
-            return (range.first().toLong()..range.last().toLong()).toList() + FOUND
+        @JvmStatic fun seeds(): List<Long> = days("wardmux.days", "1-24") + FOUND
+
+        /** Likewise: `-Dwardmux.grown=100-500`. */
+        @JvmStatic fun grownSeeds(): List<Long> = days("wardmux.grown", "1-24")
+
+        private fun days(property: String, usual: String): List<Long> {
+            val range = (System.getProperty(property) ?: usual).split('-')
+            return (range.first().toLong()..range.last().toLong()).toList()
         }
 
         /**
--- a/src/test/kotlin/wardmux/sim/Rig.kt
+++ b/src/test/kotlin/wardmux/sim/Rig.kt
@@ -26,6 +26,8 @@
 import wardmux.intake.JobRecord
 import wardmux.intake.JobSpec
 import wardmux.intake.JobState
+import wardmux.intake.Shape
+import wardmux.intake.Urgency
 import wardmux.millis
 
 /** One controller whose state service answers at once, for situations set up by hand. */
@@ -36,9 +38,27 @@
     private val answers = HashMap<Long, Pair<Int, String>>()
     private var calls = 0L
 
-    /** Direct orders, as they were sent to workers; they get no connection. */
+    /** Direct orders, as they were sent to workers. */
     val direct = ArrayList<String>()
 
+    /** What becomes of direct orders: as a rule they get no connection. */
+    var directOutcome: Outcome = Outcome.Unsent
+
+    /** Requests to the cloud, which nobody answers. */
+    val cloud = ArrayList<String>()
+
+    /** Requests to the state service, and whether their answers are held back for now. */
+    val stateCalls = ArrayList<String>()
+    var hold = false
+    private val held = ArrayList<() -> Unit>()
+
+    fun release() {
+        hold = false
+        val all = held.toList()
+        held.clear()
+        for (reply in all) reply()
+    }
+
     /** Requests to the state service that get 503. */
     var refuse: (String) -> Boolean = { false }
 
@@ -88,6 +108,28 @@
         return answers[id]
     }
 
+    val lastCall: Long
+        get() = calls
+
+    /** The status and body of a call that was answered later. */
+    fun answerTo(id: Long): Pair<Int, String>? = answers[id]
+
+    /** A lease of somebody else's, with a key bound to it. */
+    fun writeLeased(key: String, data: JsonElement) {
+        state.handle("test", "POST", "/leases", """{"life_ms":600000}""") { _, body ->
+            val permit = Regex("\\d+").find(body)!!.value.toLong()
+            change(
+                buildJsonObject {
+                    put("put", key)
+                    put("data", data)
+                    put("permit", permit)
+                }
+            )
+        }
+    }
+
+    fun stored(key: String): JsonElement? = state.value(key)
+
     private fun feed(input: Input) {
         for (effect in core.handle(clock.now, clock.now, input)) {
             when (effect) {
@@ -106,11 +148,19 @@
         when {
             effect.target is Target.Worker -> {
                 direct.add(body)
+                feed(Input.Reply(effect.id, directOutcome))
+            }
+            effect.target !is Target.State -> {
+                if (effect.target is Target.Cloud) cloud.add("${effect.path} $body")
                 feed(Input.Reply(effect.id, Outcome.Unsent))
             }
-            effect.target !is Target.State -> feed(Input.Reply(effect.id, Outcome.Unsent))
             refuse(effect.path) -> reply(503, "{}")
-            else -> state.handle("rig", effect.method, effect.path, body, reply)
+            else -> {
+                stateCalls.add("${effect.method} ${effect.path}")
+                state.handle("rig", effect.method, effect.path, body) { status, text ->
+                    if (hold) held.add { reply(status, text) } else reply(status, text)
+                }
+            }
         }
     }
 
@@ -137,3 +187,48 @@
             )
     }
 }
+
+/** A plain array job, for situations set up by hand. */
+fun plainJob(tasks: Int, id: String = "job-000001", oneZone: Boolean = false) =
+    JobSpec(
+        id,
+        "c",
+        "team-0",
+        Shape.BATCH,
+        Urgency.HIGH,
+        tasks,
+        2.0,
+        0.0,
+        1.0,
+        "img",
+        0.5,
+        types = null,
+        zone = null,
+        oneZone = oneZone,
+        spread = false,
+        spot = true,
+        estimateS = 50.0,
+        checkpointS = 0.0,
+        saveS = 0.0,
+    )
+
+/** A machine of the rig's that reports by hand. */
+class ByHand(private val rig: Rig, private val id: String, private val zone: String = "a") {
+    var tick = 0
+
+    fun report(token: Long, tasks: String = "", at: Int = ++tick): Pair<Int, String>? {
+        val body =
+            """{"box":"$id","endpoint":"10.0.0.9:9","boxkind":"mid","ward":"$zone","loaners":""" +
+                """false,"shift":1,"tick":$at,"baton":$token,"pieces":[$tasks]}"""
+        return rig.call("POST", "/hello", body.encodeToByteArray())
+    }
+
+    fun hello(token: Long, tasks: String = ""): String {
+        val answer = report(token, tasks)
+        check(answer?.first == 200) { "answered $answer" }
+        return answer?.second.orEmpty()
+    }
+
+    /** The leader's token, as a first report learns it. */
+    fun token(): Long = Regex("\"baton\":(\\d+)").find(hello(0))!!.groupValues[1].toLong()
+}
--- a/src/test/kotlin/wardmux/sim/Rules.kt
+++ b/src/test/kotlin/wardmux/sim/Rules.kt
@@ -14,6 +14,7 @@
         var final: String? = null
         var finalAt = Micros.ZERO
         var acceptedAt: Micros? = null
+        var answeredAt = Micros.ZERO
     }
 
     private val teams = teams.associateBy { it.name }
@@ -50,6 +51,7 @@
         spot: Boolean,
     ) {
         starts++
+        begun.add(job)
         val spec =
             specs[job] ?: return breaks("invented", "$job/$task runs and nobody submitted it")
         val own = on.getOrPut(job) { HashMap() }
@@ -138,6 +140,47 @@
         if (state == "done" && (completed[job]?.size ?: 0) < tasks) breaks("not_done", job)
     }
 
+    fun answered(now: Micros, job: String, well: Boolean) {
+        if (well) told.getOrPut(job) { Told() }.answeredAt = now
+    }
+
+    /**
+     * With all troubles over since [calm]: every accepted job is still known, whatever becomes of
+     * the others, and of those that nobody cancelled at least half of each class, of each team and
+     * of the largest of each class was served; the largest began within four minutes.
+     */
+    fun endOfDay(now: Micros, calm: Micros) {
+        val accepted = told.filter { it.value.acceptedAt != null && it.key in specs }
+        for ((job, known) in accepted) {
+            val since = maxOf(known.answeredAt, calm, known.acceptedAt ?: calm)
+            if (now - since > UNANSWERED) breaks("forgotten", "no question about $job is answered")
+        }
+        val old =
+            accepted
+                .filter { (job, known) ->
+                    job !in askedToCancel && now - (known.acceptedAt ?: now) > LONGEST_WAIT
+                }
+                .keys
+                .map { specs.getValue(it) }
+        val byClass = old.groupBy { it.jobClass }
+        for ((name, jobs) in byClass) half("class $name", jobs)
+        for ((name, jobs) in old.groupBy { it.team }) half("team $name", jobs)
+        for ((name, jobs) in byClass) {
+            val largest = jobs.sortedByDescending { it.tasks }.take((jobs.size + 4) / 5)
+            half("largest of $name", largest)
+            for (job in largest) {
+                if (job.id !in begun) breaks("late", "${job.id} of ${job.tasks} has not begun")
+            }
+        }
+    }
+
+    private fun half(what: String, jobs: List<JobSpec>) {
+        val served = jobs.count { it.id in begun }
+        if (served * 2 < jobs.size) breaks("served", "$served of ${jobs.size} of $what")
+    }
+
+    private val begun = HashSet<String>()
+
     fun allDone(job: String): Boolean = (completed[job]?.size ?: 0) == specs.getValue(job).tasks
 
     fun finalOf(job: String): String? = told[job]?.final
@@ -145,5 +188,7 @@
     companion object {
         /** Tasks may go on for as long as PROTOCOL gives them after a cancellation. */
         val SLACK = 1.secs
+        private val UNANSWERED = 75.secs
+        private val LONGEST_WAIT = 240.secs
     }
 }
--- a/src/test/kotlin/wardmux/sim/World.kt
+++ b/src/test/kotlin/wardmux/sim/World.kt
@@ -104,25 +104,22 @@
                 }
                 network.send(hostOf(effect.target), member, answer)
             }
-            val body = effect.body.decodeToString()
             network.send(member, hostOf(effect.target)) {
-                when (val target = effect.target) {
-                    is Target.State -> state.handle(member, effect.method, effect.path, body, back)
-                    is Target.Cloud -> cloud.handle(effect.method, effect.path, body, back)
-                    is Target.Worker -> {
-                        val worker = workers[target.address.substringBefore(':')]
-                        deliver(worker, body, back)
-                    }
-                    is Target.Sibling ->
-                        call(
-                            target.member,
-                            Port.PEER,
-                            effect.method,
-                            effect.path,
-                            effect.body,
-                            back,
-                        )
-                }
+                arrive(effect, back)
+                // A repeat of what was carried out.
+                network.copy { arrive(effect) { _, _ -> } }
+            }
+        }
+
+        private fun arrive(effect: Effect.Send, back: (Int, String) -> Unit) {
+            val body = effect.body.decodeToString()
+            when (val target = effect.target) {
+                is Target.State -> state.handle(member, effect.method, effect.path, body, back)
+                is Target.Cloud -> cloud.handle(effect.method, effect.path, body, back)
+                is Target.Worker ->
+                    deliver(workers[target.address.substringBefore(':')], body, back)
+                is Target.Sibling ->
+                    call(target.member, Port.PEER, effect.method, effect.path, effect.body, back)
             }
         }
     }
@@ -169,6 +166,9 @@
 
     private fun worker(id: String, type: String, zone: String, spot: Boolean): WorkerStandIn {
         val send: Report = { node, body, answer ->
+            network.copy {
+                call(node, Port.API, "POST", "/hello", body.encodeToByteArray()) { _, _ -> }
+            }
             network.send(id, node) {
                 call(node, Port.API, "POST", "/hello", body.encodeToByteArray()) { status, text ->
                     network.send(node, id) { answer(status, text) }
@@ -274,6 +274,7 @@
         val askedAt = clock.now
         ask("GET", "/submissions/$job", ByteArray(0)) { status, text ->
             if (status != null) rules.told(clock.now, job, "GET", status, stateIn(text), askedAt)
+            rules.answered(clock.now, job, status == 200)
             clock.after(clock.between(3.secs, 6.secs)) { poll(job) }
         }
     }
@@ -321,5 +322,8 @@
 
     fun run(until: Micros) = clock.run(until) { rules.check(clock.now) }
 
+    /** The checks at the end of a day whose troubles were over at [calm]. */
+    fun endOfDay(calm: Micros) = rules.endOfDay(clock.now, calm)
+
     fun problems(): List<String> = rules.broken + state.problems + cloud.problems
 }
