A leader that its workers left gives up its lease; unheard machines are given up sooner

Changed: where at least two thirds of the machines have found the new leader, the others are deleted after four reports and the time of one unanswered report; the deletion is still the only proof.

Ruled out: the reading of what is stored at take-over (0.1 s), processor time.

--- a/src/main/kotlin/wardmux/app/Controller.kt
+++ b/src/main/kotlin/wardmux/app/Controller.kt
@@ -69,6 +69,7 @@
                 platform,
                 operators,
                 intake::learnFinal,
+                peers::hearsOthers,
             )
     }
 
--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -447,17 +447,35 @@
             if (machine.up || machine.condemned || desk.now - since < patience) continue
             condemn(machine, "never took this leader's token")
         }
-        if (desk.now - electedAt < patience) return
         val unheard =
             cluster.machines.values.filter { !it.up && !it.condemned && it.placements.isNotEmpty() }
+        val unknown = cluster.unheardOf().toList()
+        // Where most machines have found this leader, it is not for it that the rest are silent.
+        val up = cluster.machines.values.count { it.up }
+        val few = (unheard.size + unknown.size) * 2 <= up
+        if (desk.now - electedAt < if (few) lostAfter + REPORT_TIME else patience) return
         for (machine in unheard) condemn(machine, "never reported to this leader")
-        for (id in cluster.unheardOf().toList()) {
+        for (id in unknown) {
             val type = types.types?.firstOrNull() ?: return
             val machine = machine(id, type.label, "", false) ?: continue
             condemn(machine, "never reported to this leader")
         }
     }
 
+    /** Most of the machines that were heard fell silent: perhaps they hear other controllers. */
+    fun isLeftAlone(): Boolean {
+        val quiet = (workers.reportS * operators.quietReports).secs
+        var up = 0
+        var silent = 0
+        for (machine in cluster.machines.values) {
+            val heardAt = machine.heardAt ?: continue
+            if (machine.condemned) continue
+            up++
+            if (desk.now - heardAt > quiet) silent++
+        }
+        return up >= ENOUGH && silent * 2 > up
+    }
+
     private val lostAfter = (workers.reportS * operators.lostReports).secs
     private val leaseOver =
         workers.leaseS.secs * (1 + Leadership.DRIFT) + operators.leaseMarginS.secs
@@ -494,6 +512,10 @@
         const val UNSHOWN_REPORTS = 2.5
         val UNSHOWN_LEAST = 8.secs
         const val FEW = 2
+        const val ENOUGH = 4
+
+        /** What a worker waits for an answer, and until it tries the next controller. */
+        val REPORT_TIME = 5.secs
         const val MANY_PART = 3
     }
 }
--- a/src/main/kotlin/wardmux/lead/Leadership.kt
+++ b/src/main/kotlin/wardmux/lead/Leadership.kt
@@ -246,6 +246,18 @@
         listener.deposed()
     }
 
+    /**
+     * Given up for another controller to take: this one is sure of its lease, but does not hear its
+     * workers. It stands again only when others have had time to.
+     */
+    fun abdicate(why: String) {
+        val leader = role as? Role.Leader ?: return
+        log.info("token {} is given up: {}", leader.token, why)
+        depose(null, leader.token)
+        store.end(leader.lease) {}
+        lookAgain(life + life)
+    }
+
     /** A write was refused because the leader key isn't as it was written. */
     fun fenced() {
         val leader = role as? Role.Leader ?: return
--- a/src/main/kotlin/wardmux/lead/Term.kt
+++ b/src/main/kotlin/wardmux/lead/Term.kt
@@ -46,6 +46,8 @@
     platform: PlatformSettings,
     private val operators: OperatorSettings,
     private val learnFinal: (JobId, JobState) -> Unit,
+    /** True if another controller could lead. */
+    private val hasSiblings: () -> Boolean,
 ) : Ledger.Listener {
     private val log = logger<Term>()
     private val facts = platform.facts
@@ -92,6 +94,7 @@
             ::condemn,
             ledger::absolve,
         )
+    private val startedAt = desk.now
     private var loaded = false
     private var over = false
 
@@ -123,6 +126,9 @@
         if (!loaded) return
         watchAt?.let { if (desk.now >= it) watch() }
         fleet.watchSilence()
+        if (leadership.sure && desk.now - startedAt > operators.leaderLeaseS.secs && isCutOff()) {
+            return leadership.abdicate("most machines are silent")
+        }
         hiring.tick(leadership.sure)
         if (leadership.sure && desk.now >= preemptAt) {
             preemptAt = desk.now + PREEMPT_PERIOD
@@ -146,6 +152,8 @@
         ledger.flush()
     }
 
+    private fun isCutOff() = hasSiblings() && fleet.isLeftAlone()
+
     private fun sweep() {
         cluster.jobs.values.removeIf {
             it.over && it.placements.isEmpty() && it.storedPages().isEmpty()
--- a/src/main/kotlin/wardmux/peers/Peers.kt
+++ b/src/main/kotlin/wardmux/peers/Peers.kt
@@ -41,6 +41,8 @@
         progressAt = desk.now
     }
 
+    fun hearsOthers() = heard.values.any { desk.now - it.at < STALE }
+
     /**
      * With the state service silent for this controller: true if it answers a sibling, or if no
      * sibling is heard either, so that it is this controller that is cut off.
--- a/src/test/kotlin/wardmux/lead/LoneLeaderTest.kt
+++ b/src/test/kotlin/wardmux/lead/LoneLeaderTest.kt
@@ -47,6 +47,26 @@
         assertNotEquals(200, machine.report(token)?.first)
     }
 
+    @Test
+    fun `a leader that most machines stopped reporting to lets a sibling lead`() {
+        val rig = Rig(siblings = listOf("n1"))
+        rig.run(2.secs)
+        val machines = List(6) { ByHand(rig, "i-00000$it") }
+        val token = machines.first().token()
+        val beat = BeatCodec.encode(Beat("n1"))
+        fun pass(heard: List<ByHand>, seconds: Int) =
+            repeat(seconds) {
+                for (machine in heard) machine.report(token)
+                rig.call("POST", "/beat", beat, Port.PEER)
+                rig.run(1.secs)
+            }
+        pass(machines, 4)
+        pass(machines.take(4), 10)
+        assertTrue(rig.stored("leader") != null, "given up for two silent machines of six")
+        pass(machines.take(1), 8)
+        assertEquals(null, rig.stored("leader"))
+    }
+
     @Test
     fun `a former process's lease is never taken for the own, nor is a stranger's beat heard`() {
         rig.writeLeased("leader", Json.parseToJsonElement("""{"member":"n0","boot":"former"}"""))
--- a/src/test/kotlin/wardmux/sim/RandomDaysTest.kt
+++ b/src/test/kotlin/wardmux/sim/RandomDaysTest.kt
@@ -86,6 +86,7 @@
                 },
                 { world.leader()?.let { alone(it, clock.between(8.secs, 50.secs)) } },
                 { alone(someNode(), clock.between(8.secs, 50.secs)) },
+                { world.leader()?.let { unheard(it, clock.between(8.secs, 50.secs)) } },
                 {
                     for (node in world.nodes) {
                         world.crash(node, clock.between(20.millis, 400.millis))
@@ -130,6 +131,14 @@
             }
         }
 
+        /** A controller that its workers do not reach, nor it them. */
+        private fun unheard(member: String, length: Micros) {
+            for (worker in world.cloud.workers()) {
+                part(member, worker.id, length)
+                part(worker.id, member, length)
+            }
+        }
+
         private fun slow(host: String, by: Micros) {
             world.network.slow[host] = by
             clock.after(30.secs) { world.network.slow.remove(host) }
--- a/src/test/kotlin/wardmux/sim/Rig.kt
+++ b/src/test/kotlin/wardmux/sim/Rig.kt
@@ -19,6 +19,7 @@
 import wardmux.app.OperatorSettings
 import wardmux.app.PlatformSettings
 import wardmux.app.ServiceSettings
+import wardmux.app.SiblingSettings
 import wardmux.app.StateFacts
 import wardmux.app.TeamFacts
 import wardmux.app.WorkerFacts
@@ -31,7 +32,9 @@
 import wardmux.millis
 
 /** One controller whose state service answers at once, for situations set up by hand. */
-class Rig(settings: PlatformSettings = SETTINGS) {
+class Rig(siblings: List<String> = emptyList()) {
+    private val settings =
+        SETTINGS.copy(siblings = siblings.map { SiblingSettings(it, address = "10.0.0.2:81") })
     private val clock = Clockwork(1)
     private val state = StateStandIn(clock, settings.facts.state)
     private val core = Controller(settings, OperatorSettings(), "rig")
