Overdue machines are asked, and given up sooner if they do not answer

Changed: one and a half reports after its last the leader asks a machine for its state; an answer is a sign of life, and one that does not answer is given up after two reports, at least 8 s, unless more than a fifth are like that.

--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -123,6 +123,7 @@
             machine.rumour = false
             // Under an older token it may be a copy from before this leader's time.
             machine.heardAt = desk.now
+            machine.probeFailed = false
         } else if (machine.firstRumourAt == null) {
             machine.firstRumourAt = desk.now
         }
@@ -395,6 +396,7 @@
         watchAt = desk.now + WATCH_PERIOD
         val up = cluster.machines.values.filter { it.up && !it.condemned }
         val silent = ArrayList<Machine>()
+        val unreachable = ArrayList<Machine>()
         val deaf = ArrayList<Machine>()
         for (machine in up) {
             val silence = desk.now - (machine.heardAt ?: continue)
@@ -406,7 +408,9 @@
             // Past its notice and quiet: taken. Deleting it proves that, sooner than waiting does.
             val taken = desk.now > machine.takenAt + TAKEN_MARGIN && silence > TAKEN_MARGIN
             if (taken) condemn(machine, "taken back")
+            if (silence > askAfter) probe(machine)
             if (silence > lostAfter) silent.add(machine)
+            else if (silence > unreachableAfter && machine.probeFailed) unreachable.add(machine)
             // Nothing new goes there, so that what went unanswered can do no harm.
             else if (machine.directBroken && machine.empty) condemn(machine, "orders unanswered")
             else if (isDeaf(machine)) deaf.add(machine)
@@ -417,10 +421,32 @@
             val silence = desk.now - (machine.heardAt ?: continue)
             if (silent.size <= many || silence > leaseOver + leaseOver) condemn(machine, "silent")
         }
+        if (unreachable.size <= maxOf(FEW, up.size / UNREACHABLE_PART)) {
+            for (machine in unreachable) condemn(machine, "silent and not to be reached")
+        }
         if (deaf.size <= many) for (machine in deaf) condemn(machine, "orders do not reach it")
         watchUnheard()
     }
 
+    /**
+     * Asks a machine whose report is overdue. An answer is a sign of life like a report; that none
+     * comes is a second reason to give it up, and so it is given up sooner.
+     */
+    private fun probe(machine: Machine) {
+        if (machine.probing || desk.now < machine.probeAt || machine.endpoint.isEmpty()) return
+        if (directOpen >= MOST_DIRECT_OPEN) return
+        machine.probing = true
+        machine.probeAt = desk.now + PROBE_PAUSE
+        directOpen++
+        val target = Target.Worker(machine.endpoint)
+        desk.send(target, "GET", "/status", ByteArray(0), PROBE_TIME) { outcome ->
+            directOpen--
+            machine.probing = false
+            if (outcome is Outcome.Response && outcome.status == 200) takeDirect(machine, outcome)
+            else machine.probeFailed = true
+        }
+    }
+
     /**
      * Its reports arrive, but go on lacking a start that was sent long ago. The start may still be
      * under way, so only the machine's deletion frees the task, its room and its cap.
@@ -451,9 +477,12 @@
             cluster.machines.values.filter { !it.up && !it.condemned && it.placements.isNotEmpty() }
         val unknown = cluster.unheardOf().toList()
         // Where most machines have found this leader, it is not for it that the rest are silent.
+        // Not
+        // before a lease is over: one that is back by then is worth more than its tasks' time.
         val up = cluster.machines.values.count { it.up }
         val few = (unheard.size + unknown.size) * 2 <= up
-        if (desk.now - electedAt < if (few) lostAfter + REPORT_TIME else patience) return
+        val due = if (few) maxOf(workers.leaseS.secs, lostAfter) + REPORT_TIME else patience
+        if (desk.now - electedAt < due) return
         for (machine in unheard) condemn(machine, "never reported to this leader")
         for (id in unknown) {
             val type = types.types?.firstOrNull() ?: return
@@ -477,6 +506,9 @@
     }
 
     private val lostAfter = (workers.reportS * operators.lostReports).secs
+    private val askAfter = (workers.reportS * OVERDUE_REPORTS).secs
+    private val unreachableAfter =
+        maxOf((workers.reportS * UNREACHABLE_REPORTS).secs, UNREACHABLE_LEAST)
     private val leaseOver =
         workers.leaseS.secs * (1 + Leadership.DRIFT) + operators.leaseMarginS.secs
     private var watchAt = Micros.LONG_AGO
@@ -512,6 +544,16 @@
         const val UNSHOWN_REPORTS = 2.5
         val UNSHOWN_LEAST = 8.secs
         const val FEW = 2
+
+        /** A report comes after at most one and a quarter of its usual time. */
+        const val OVERDUE_REPORTS = 1.5
+        const val UNREACHABLE_REPORTS = 2.0
+        const val UNREACHABLE_PART = 5
+
+        /** Short hangs and cuts pass by themselves. */
+        val UNREACHABLE_LEAST = 8.secs
+        val PROBE_TIME = 3.secs
+        val PROBE_PAUSE = 5.secs
         const val ENOUGH = 4
 
         /** What a worker waits for an answer, and until it tries the next controller. */
--- a/src/main/kotlin/wardmux/fleet/Machine.kt
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -36,6 +36,13 @@
     /** Direct orders went unanswered in this session, so they may be carried out at any time. */
     var directBroken = false
 
+    /**
+     * Its report is overdue and it is being asked; whether that went unanswered, and what is next.
+     */
+    var probing = false
+    var probeFailed = false
+    var probeAt = Micros.LONG_AGO
+
     /**
      * Attempts whose direct start is under way or went unanswered. While that is so, their absence
      * from a report proves nothing, and they are not forgotten: a start that is carried out after
--- a/src/test/kotlin/wardmux/fleet/FleetTest.kt
+++ b/src/test/kotlin/wardmux/fleet/FleetTest.kt
@@ -72,6 +72,21 @@
         assertTrue(deletions("i-000001") > 0, "a copy counted as a sign of life")
     }
 
+    @Test
+    fun `an overdue machine that does not answer either is given up before others`() {
+        rig.run(2.secs)
+        val token = first.token()
+        repeat(2) {
+            first.hello(token)
+            rig.run(0.5.secs)
+        }
+        // Reports of 2.5 s: asked after 3.75 s, given up after 8 s, and after 10 s if not asked.
+        rig.run(7.secs)
+        assertEquals(0, deletions("i-000001"))
+        rig.run(2.secs)
+        assertTrue(deletions("i-000001") > 0, "still kept")
+    }
+
     @Test
     fun `an attempt that was stopped is not forgotten while a copy of its start may come`() {
         rig.accept(plainJob(1))
--- a/src/test/kotlin/wardmux/sim/Rig.kt
+++ b/src/test/kotlin/wardmux/sim/Rig.kt
@@ -150,7 +150,7 @@
         }
         when {
             effect.target is Target.Worker -> {
-                direct.add(body)
+                if (effect.path == "/do") direct.add(body)
                 feed(Input.Reply(effect.id, directOutcome))
             }
             effect.target !is Target.State -> {
--- a/src/test/kotlin/wardmux/sim/World.kt
+++ b/src/test/kotlin/wardmux/sim/World.kt
@@ -117,7 +117,7 @@
                 is Target.State -> state.handle(member, effect.method, effect.path, body, back)
                 is Target.Cloud -> cloud.handle(effect.method, effect.path, body, back)
                 is Target.Worker ->
-                    deliver(workers[target.address.substringBefore(':')], body, back)
+                    deliver(workers[target.address.substringBefore(':')], effect.path, body, back)
                 is Target.Sibling ->
                     call(target.member, Port.PEER, effect.method, effect.path, effect.body, back)
             }
@@ -125,10 +125,18 @@
     }
 
     /** A hanging machine executes what has arrived when it goes on. */
-    private fun deliver(worker: WorkerStandIn?, body: String, back: (Int, String) -> Unit) {
+    private fun deliver(
+        worker: WorkerStandIn?,
+        path: String,
+        body: String,
+        back: (Int, String) -> Unit,
+    ) {
         if (worker == null || !worker.alive) return
-        if (worker.hanging) clock.after(500.millis) { deliver(worker, body, back) }
-        else worker.direct(body)?.let { (status, report) -> back(status, report) }
+        when {
+            worker.hanging -> clock.after(500.millis) { deliver(worker, path, body, back) }
+            path == "/status" -> back(200, worker.reportBody())
+            else -> worker.direct(body)?.let { (status, report) -> back(status, report) }
+        }
     }
 
     private fun hostOf(target: Target): String =
