--- a/src/main/kotlin/wardmux/app/Daemon.kt
+++ b/src/main/kotlin/wardmux/app/Daemon.kt
@@ -72,7 +72,7 @@
     }
 
     private fun bind(text: String, port: Port) =
-        server.listen(requireNotNull(SettingsFiles.address(text)) as InetSocketAddress, port)
+        server.listen(requireNotNull(SettingsFiles.address(text)), port)
 
     private fun feed(input: Input) {
         val effects =
--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -14,16 +14,11 @@
 import wardmux.dispatch.Cluster
 import wardmux.dispatch.Job
 import wardmux.dispatch.Planner
-import wardmux.lead.Leadership
 import wardmux.logger
-import wardmux.millis
 import wardmux.secs
 import wardmux.store.lenientJson
 
-/**
- * The leader's dealings with workers: what their reports prove, what they are told, and which of
- * them are given up.
- */
+/** The leader's dealings with workers: what their reports prove and what they are told. */
 class Fleet(
     private val desk: Desk,
     private val cluster: Cluster,
@@ -40,7 +35,6 @@
     private val seen: (Token) -> Unit,
 ) {
     private val log = logger<Fleet>()
-    private val electedAt = desk.now
 
     /** Machines whose deletion was confirmed; what they still send is late. */
     val gone = HashSet<MachineId>()
@@ -277,13 +271,28 @@
             !placement.halting &&
             !placement.job.over
 
+    /** Asks a machine for its state; [silent] if it does not answer. */
+    fun ask(machine: Machine, within: Micros, silent: () -> Unit) {
+        directOpen++
+        val target = Target.Worker(machine.endpoint)
+        desk.send(target, "GET", "/status", ByteArray(0), within) { outcome ->
+            directOpen--
+            if (outcome is Outcome.Response && outcome.status == 200) takeDirect(machine, outcome)
+            else silent()
+        }
+    }
+
+    /** One more connection to a machine can be opened. */
+    val mayAsk: Boolean
+        get() = directOpen < MOST_DIRECT_OPEN
+
     /**
      * Sends what is new to the machines themselves, rather than with the answer to their next
      * report. A lost answer leaves the order's fate open: see [Machine.loose].
      */
     fun sendDirect() {
         val looked = cluster.due.iterator()
-        while (looked.hasNext() && directOpen < MOST_DIRECT_OPEN) {
+        while (looked.hasNext() && mayAsk) {
             val machine = looked.next()
             // One at a time: looked at again when that one is over.
             if (machine.directBusy) continue
@@ -390,129 +399,6 @@
         desk.answer(call, 200, lenientJson.encodeToString(HelloAnswer.serializer(), body))
     }
 
-    /** Notices machines that fell silent, or that orders do not reach. */
-    fun watchSilence() {
-        if (desk.now < watchAt) return
-        watchAt = desk.now + WATCH_PERIOD
-        val up = cluster.machines.values.filter { it.up && !it.condemned }
-        val silent = ArrayList<Machine>()
-        val unreachable = ArrayList<Machine>()
-        val deaf = ArrayList<Machine>()
-        for (machine in up) {
-            val silence = desk.now - (machine.heardAt ?: continue)
-            if (desk.now - machine.renewedAt > leaseOver && !machine.empty) {
-                // It has taken this leader's token, so nobody else can have renewed its lease.
-                log.info("the lease of {} is over", machine.id)
-                cluster.clear(machine, "lease over")
-            }
-            // Past its notice and quiet: taken. Deleting it proves that, sooner than waiting does.
-            val taken = desk.now > machine.takenAt + TAKEN_MARGIN && silence > TAKEN_MARGIN
-            if (taken) condemn(machine, "taken back")
-            if (silence > askAfter) probe(machine)
-            if (silence > lostAfter) silent.add(machine)
-            else if (silence > unreachableAfter && machine.probeFailed) unreachable.add(machine)
-            // Nothing new goes there, so that what went unanswered can do no harm.
-            else if (machine.directBroken && machine.empty) condemn(machine, "orders unanswered")
-            else if (isDeaf(machine)) deaf.add(machine)
-        }
-        // Many at once: more likely the network than the machines. Their leases decide.
-        val many = maxOf(FEW, up.size / MANY_PART)
-        for (machine in silent) {
-            val silence = desk.now - (machine.heardAt ?: continue)
-            if (silent.size <= many || silence > leaseOver + leaseOver) condemn(machine, "silent")
-        }
-        if (unreachable.size <= maxOf(FEW, up.size / UNREACHABLE_PART)) {
-            for (machine in unreachable) condemn(machine, "silent and not to be reached")
-        }
-        if (deaf.size <= many) for (machine in deaf) condemn(machine, "orders do not reach it")
-        watchUnheard()
-    }
-
-    /**
-     * Asks a machine whose report is overdue. An answer is a sign of life like a report; that none
-     * comes is a second reason to give it up, and so it is given up sooner.
-     */
-    private fun probe(machine: Machine) {
-        if (machine.probing || desk.now < machine.probeAt || machine.endpoint.isEmpty()) return
-        if (directOpen >= MOST_DIRECT_OPEN) return
-        machine.probing = true
-        machine.probeAt = desk.now + PROBE_PAUSE
-        directOpen++
-        val target = Target.Worker(machine.endpoint)
-        desk.send(target, "GET", "/status", ByteArray(0), PROBE_TIME) { outcome ->
-            directOpen--
-            machine.probing = false
-            if (outcome is Outcome.Response && outcome.status == 200) takeDirect(machine, outcome)
-            else machine.probeFailed = true
-        }
-    }
-
-    /**
-     * Its reports arrive, but go on lacking a start that was sent long ago. The start may still be
-     * under way, so only the machine's deletion frees the task, its room and its cap.
-     */
-    private fun isDeaf(machine: Machine): Boolean {
-        val heardAt = machine.heardAt ?: return false
-        val patience = maxOf((workers.reportS * UNSHOWN_REPORTS).secs, UNSHOWN_LEAST)
-        return machine.placements.values.any {
-            val startedAt = it.startedAt
-            it.status == null && startedAt != null && heardAt - startedAt > patience
-        }
-    }
-
-    /**
-     * A machine with placements that never reported under this leader's token: an earlier leader
-     * may keep its lease alive, so only its deletion proves anything. One of which no more is known
-     * than a report under an older token may be gone for long.
-     */
-    private fun watchUnheard() {
-        if (!loaded()) return
-        val patience = workers.leaseS.secs + lostAfter
-        for (machine in cluster.machines.values) {
-            val since = machine.firstRumourAt ?: continue
-            if (machine.up || machine.condemned || desk.now - since < patience) continue
-            condemn(machine, "never took this leader's token")
-        }
-        val unheard =
-            cluster.machines.values.filter { !it.up && !it.condemned && it.placements.isNotEmpty() }
-        val unknown = cluster.unheardOf().toList()
-        // Where most machines have found this leader, it is not for it that the rest are silent.
-        // Not
-        // before a lease is over: one that is back by then is worth more than its tasks' time.
-        val up = cluster.machines.values.count { it.up }
-        val few = (unheard.size + unknown.size) * 2 <= up
-        val due = if (few) maxOf(workers.leaseS.secs, lostAfter) + REPORT_TIME else patience
-        if (desk.now - electedAt < due) return
-        for (machine in unheard) condemn(machine, "never reported to this leader")
-        for (id in unknown) {
-            val type = types.types?.firstOrNull() ?: return
-            val machine = machine(id, type.label, "", false) ?: continue
-            condemn(machine, "never reported to this leader")
-        }
-    }
-
-    /** Most of the machines that were heard fell silent: perhaps they hear other controllers. */
-    fun isLeftAlone(): Boolean {
-        val quiet = (workers.reportS * operators.quietReports).secs
-        var up = 0
-        var silent = 0
-        for (machine in cluster.machines.values) {
-            val heardAt = machine.heardAt ?: continue
-            if (machine.condemned) continue
-            up++
-            if (desk.now - heardAt > quiet) silent++
-        }
-        return up >= ENOUGH && silent * 2 > up
-    }
-
-    private val lostAfter = (workers.reportS * operators.lostReports).secs
-    private val askAfter = (workers.reportS * OVERDUE_REPORTS).secs
-    private val unreachableAfter =
-        maxOf((workers.reportS * UNREACHABLE_REPORTS).secs, UNREACHABLE_LEAST)
-    private val leaseOver =
-        workers.leaseS.secs * (1 + Leadership.DRIFT) + operators.leaseMarginS.secs
-    private var watchAt = Micros.LONG_AGO
-
     /**
      * A copy of a direct start may come late, and would start a forgotten attempt again: beside the
      * next one, or of a job that was cancelled since. What is done is not run again by it; all else
@@ -524,7 +410,6 @@
     private var directOpen = 0
 
     private companion object {
-        val TAKEN_MARGIN = 1.secs
         val DIRECT_TIME = 4.secs
         const val MAX_DIRECT = 300
         val REFUSED_PAUSE = 1.secs
@@ -532,32 +417,10 @@
         val FAILED_PAUSE = 8.secs
         const val SICK_FAILURES = 3
         const val MAX_ORDERS = 400
-
         /** Each takes a connection of its own. */
         const val MOST_DIRECT_OPEN = 96
-        val WATCH_PERIOD = 400.millis
         const val KEPT_LEASES = 10.0
         val SEND_ON_AFTER = 2.secs
         const val SEND_ON_PART = 0.5
-
-        /** Reports that may lack a start before the machine counts as deaf. */
-        const val UNSHOWN_REPORTS = 2.5
-        val UNSHOWN_LEAST = 8.secs
-        const val FEW = 2
-
-        /** A report comes after at most one and a quarter of its usual time. */
-        const val OVERDUE_REPORTS = 1.5
-        const val UNREACHABLE_REPORTS = 2.0
-        const val UNREACHABLE_PART = 5
-
-        /** Short hangs and cuts pass by themselves. */
-        val UNREACHABLE_LEAST = 8.secs
-        val PROBE_TIME = 3.secs
-        val PROBE_PAUSE = 5.secs
-        const val ENOUGH = 4
-
-        /** What a worker waits for an answer, and until it tries the next controller. */
-        val REPORT_TIME = 5.secs
-        const val MANY_PART = 3
     }
 }
--- /dev/null
+++ b/src/main/kotlin/wardmux/fleet/FleetHealth.kt
@@ -0,0 +1,162 @@
+package wardmux.fleet
+
+import wardmux.Desk
+import wardmux.Micros
+import wardmux.app.OperatorSettings
+import wardmux.app.WorkerFacts
+import wardmux.cloud.TypeBook
+import wardmux.dispatch.Cluster
+import wardmux.lead.Leadership
+import wardmux.logger
+import wardmux.millis
+import wardmux.secs
+
+/** Which machines are given up, because they fell silent or because orders do not reach them. */
+class FleetHealth(
+    private val desk: Desk,
+    private val cluster: Cluster,
+    private val fleet: Fleet,
+    private val types: TypeBook,
+    private val workers: WorkerFacts,
+    private val operators: OperatorSettings,
+    private val loaded: () -> Boolean,
+    private val condemn: (Machine, String) -> Unit,
+) {
+    private val log = logger<FleetHealth>()
+    private val electedAt = desk.now
+    private val lostAfter = (workers.reportS * operators.lostReports).secs
+    private val askAfter = (workers.reportS * OVERDUE_REPORTS).secs
+    private val unreachableAfter =
+        maxOf((workers.reportS * UNREACHABLE_REPORTS).secs, UNREACHABLE_LEAST)
+    private val leaseOver =
+        workers.leaseS.secs * (1 + Leadership.DRIFT) + operators.leaseMarginS.secs
+    private var watchAt = Micros.LONG_AGO
+
+    /** Notices machines that fell silent, or that orders do not reach. */
+    fun watch() {
+        if (desk.now < watchAt) return
+        watchAt = desk.now + WATCH_PERIOD
+        val up = cluster.machines.values.filter { it.up && !it.condemned }
+        val silent = ArrayList<Machine>()
+        val unreachable = ArrayList<Machine>()
+        val deaf = ArrayList<Machine>()
+        for (machine in up) {
+            val silence = desk.now - (machine.heardAt ?: continue)
+            if (desk.now - machine.renewedAt > leaseOver && !machine.empty) {
+                // It has taken this leader's token, so nobody else can have renewed its lease.
+                log.info("the lease of {} is over", machine.id)
+                cluster.clear(machine, "lease over")
+            }
+            // Past its notice and quiet: taken. Deleting it proves that, sooner than waiting does.
+            val taken = desk.now > machine.takenAt + TAKEN_MARGIN && silence > TAKEN_MARGIN
+            if (taken) condemn(machine, "taken back")
+            if (silence > askAfter) probe(machine)
+            if (silence > lostAfter) silent.add(machine)
+            else if (silence > unreachableAfter && machine.probeFailed) unreachable.add(machine)
+            // Nothing new goes there, so that what went unanswered can do no harm.
+            else if (machine.directBroken && machine.empty) condemn(machine, "orders unanswered")
+            else if (isDeaf(machine)) deaf.add(machine)
+        }
+        // Many at once: more likely the network than the machines. Their leases decide.
+        val many = maxOf(FEW, up.size / MANY_PART)
+        for (machine in silent) {
+            val silence = desk.now - (machine.heardAt ?: continue)
+            if (silent.size <= many || silence > leaseOver + leaseOver) condemn(machine, "silent")
+        }
+        if (unreachable.size <= maxOf(FEW, up.size / UNREACHABLE_PART)) {
+            for (machine in unreachable) condemn(machine, "silent and not to be reached")
+        }
+        if (deaf.size <= many) for (machine in deaf) condemn(machine, "orders do not reach it")
+        watchUnheard()
+    }
+
+    /**
+     * Asks a machine whose report is overdue. An answer is a sign of life like a report; that none
+     * comes is a second reason to give it up, and so it is given up sooner.
+     */
+    private fun probe(machine: Machine) {
+        if (desk.now < machine.probeAt || machine.endpoint.isEmpty()) return
+        if (!fleet.mayAsk) return
+        machine.probeAt = desk.now + PROBE_PAUSE
+        fleet.ask(machine, PROBE_TIME) { machine.probeFailed = true }
+    }
+
+    /**
+     * Its reports arrive, but go on lacking a start that was sent long ago. The start may still be
+     * under way, so only the machine's deletion frees the task, its room and its cap.
+     */
+    private fun isDeaf(machine: Machine): Boolean {
+        val heardAt = machine.heardAt ?: return false
+        val patience = maxOf((workers.reportS * UNSHOWN_REPORTS).secs, UNSHOWN_LEAST)
+        return machine.placements.values.any {
+            val startedAt = it.startedAt
+            it.status == null && startedAt != null && heardAt - startedAt > patience
+        }
+    }
+
+    /**
+     * A machine with placements that never reported under this leader's token: an earlier leader
+     * may keep its lease alive, so only its deletion proves anything. One of which no more is known
+     * than a report under an older token may be gone for long.
+     */
+    private fun watchUnheard() {
+        if (!loaded()) return
+        val patience = workers.leaseS.secs + lostAfter
+        for (machine in cluster.machines.values) {
+            val since = machine.firstRumourAt ?: continue
+            if (machine.up || machine.condemned || desk.now - since < patience) continue
+            condemn(machine, "never took this leader's token")
+        }
+        val unheard =
+            cluster.machines.values.filter { !it.up && !it.condemned && it.placements.isNotEmpty() }
+        val unknown = cluster.unheardOf().toList()
+        // Where most machines have found this leader, it is not for it that the rest are silent.
+        // Not
+        // before a lease is over: one that is back by then is worth more than its tasks' time.
+        val up = cluster.machines.values.count { it.up }
+        val few = (unheard.size + unknown.size) * 2 <= up
+        val due = if (few) maxOf(workers.leaseS.secs, lostAfter) + REPORT_TIME else patience
+        if (desk.now - electedAt < due) return
+        for (machine in unheard) condemn(machine, "never reported to this leader")
+        for (id in unknown) {
+            val type = types.types?.firstOrNull() ?: return
+            val machine = fleet.machine(id, type.label, "", false) ?: continue
+            condemn(machine, "never reported to this leader")
+        }
+    }
+
+    /** Most of the machines that were heard fell silent: perhaps they hear other controllers. */
+    fun isLeftAlone(): Boolean {
+        val quiet = (workers.reportS * operators.quietReports).secs
+        var up = 0
+        var silent = 0
+        for (machine in cluster.machines.values) {
+            val heardAt = machine.heardAt ?: continue
+            if (machine.condemned) continue
+            up++
+            if (desk.now - heardAt > quiet) silent++
+        }
+        return up >= ENOUGH && silent * 2 > up
+    }
+
+    private companion object {
+        val TAKEN_MARGIN = 1.secs
+        val WATCH_PERIOD = 400.millis
+        /** Reports that may lack a start before the machine counts as deaf. */
+        const val UNSHOWN_REPORTS = 2.5
+        val UNSHOWN_LEAST = 8.secs
+        const val FEW = 2
+        /** A report comes after at most one and a quarter of its usual time. */
+        const val OVERDUE_REPORTS = 1.5
+        const val UNREACHABLE_REPORTS = 2.0
+        const val UNREACHABLE_PART = 5
+        /** Short hangs and cuts pass by themselves. */
+        val UNREACHABLE_LEAST = 8.secs
+        val PROBE_TIME = 3.secs
+        val PROBE_PAUSE = 5.secs
+        const val ENOUGH = 4
+        /** What a worker waits for an answer, and until it tries the next controller. */
+        val REPORT_TIME = 5.secs
+        const val MANY_PART = 3
+    }
+}
--- a/src/main/kotlin/wardmux/fleet/Machine.kt
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -36,10 +36,7 @@
     /** Direct orders went unanswered in this session, so they may be carried out at any time. */
     var directBroken = false
 
-    /**
-     * Its report is overdue and it is being asked; whether that went unanswered, and what is next.
-     */
-    var probing = false
+    /** Its report is overdue, and asked for its state it did not answer; when it is asked next. */
     var probeFailed = false
     var probeAt = Micros.LONG_AGO
 
--- a/src/main/kotlin/wardmux/lead/Term.kt
+++ b/src/main/kotlin/wardmux/lead/Term.kt
@@ -18,6 +18,7 @@
 import wardmux.dispatch.Planner
 import wardmux.dispatch.Preemption
 import wardmux.fleet.Fleet
+import wardmux.fleet.FleetHealth
 import wardmux.fleet.Machine
 import wardmux.fleet.Report
 import wardmux.intake.JobRecord
@@ -78,6 +79,8 @@
             ::condemn,
             leadership::seen,
         )
+    private val health =
+        FleetHealth(desk, cluster, fleet, types, facts.workers, operators, { loaded }, ::condemn)
     private val hiring =
         Hiring(
             desk,
@@ -125,7 +128,7 @@
         loadAt?.let { if (desk.now >= it && types.types != null) load() }
         if (!loaded) return
         watchAt?.let { if (desk.now >= it) watch() }
-        fleet.watchSilence()
+        health.watch()
         if (leadership.sure && desk.now - startedAt > operators.leaderLeaseS.secs && isCutOff()) {
             return leadership.abdicate("most machines are silent")
         }
@@ -152,7 +155,7 @@
         ledger.flush()
     }
 
-    private fun isCutOff() = hasSiblings() && fleet.isLeftAlone()
+    private fun isCutOff() = hasSiblings() && health.isLeftAlone()
 
     private fun sweep() {
         cluster.jobs.values.removeIf {
