A quiet controller is not taken for one that the state service refuses

Found by reading: readiness went by how long ago the state service had last answered, and a follower without users asks it only every 8 s, so it was unready for most of that time and got no users. Now it goes by how long all that was asked has gone unanswered; a sibling fares better only if it was answered within two seconds.

--- a/src/main/kotlin/wardmux/app/Controller.kt
+++ b/src/main/kotlin/wardmux/app/Controller.kt
@@ -141,7 +141,9 @@
      * it is this controller alone that the state service doesn't answer, the others serve them.
      */
     private fun ready(call: Long) {
-        val alone = desk.now - store.answeredAt > ALONE_AFTER && peers.othersFareBetter(ALONE_AFTER)
+        val troubled = store.troubledSince
+        val alone =
+            troubled != null && desk.now - troubled > ALONE_AFTER && peers.othersFareBetter()
         if (types.types != null && !alone) desk.answer(call, 200, """{"ready":true}""")
         else desk.answer(call, 503, """{"ready":false}""", 1)
     }
--- a/src/main/kotlin/wardmux/peers/Peers.kt
+++ b/src/main/kotlin/wardmux/peers/Peers.kt
@@ -44,13 +44,14 @@
     fun hearsOthers() = heard.values.any { desk.now - it.at < STALE }
 
     /**
-     * With the state service silent for this controller: true if it answers a sibling, or if no
-     * sibling is heard either, so that it is this controller that is cut off.
+     * With the state service silent for this controller: true if it answers a sibling (the leader
+     * asks it more than once in two seconds), or if no sibling is heard either, so that it is this
+     * controller that is cut off.
      */
-    fun othersFareBetter(patience: Micros): Boolean {
+    fun othersFareBetter(): Boolean {
         if (siblings.isEmpty()) return false
         val lately = heard.values.filter { desk.now - it.at < STALE }
-        return lately.isEmpty() || lately.any { it.stateSilence < patience }
+        return lately.isEmpty() || lately.any { it.stateSilence < ANSWERED_LATELY }
     }
 
     fun tick(token: Token?, stateAnsweredAt: Micros, progress: () -> List<Progress>) {
@@ -68,6 +69,7 @@
         const val PATH = "/beat"
         private val PERIOD = 1.secs
         private val STALE = 3.secs
+        private val ANSWERED_LATELY = 2.secs
         private val TIMEOUT = 900.millis
     }
 }
--- a/src/main/kotlin/wardmux/store/StateStore.kt
+++ b/src/main/kotlin/wardmux/store/StateStore.kt
@@ -121,7 +121,11 @@
     private var pausedUntil = Micros.LONG_AGO
 
     /** When the service last carried something out for this controller. */
-    var answeredAt = desk.now
+    var answeredAt = Micros.LONG_AGO
+        private set
+
+    /** Since when all that was asked went unanswered, or null: a quiet controller asks nothing. */
+    var troubledSince: Micros? = null
         private set
 
     /** The most changes that one transaction may hold. */
@@ -285,7 +289,7 @@
                     pausedUntil = desk.now + LIMITED_PAUSE
                     queue.addFirst(request)
                 } else {
-                    if (outcome is Outcome.Response && outcome.status != 503) answeredAt = desk.now
+                    note(outcome)
                     then(interpret(outcome, read))
                 }
             }
@@ -295,6 +299,15 @@
         pump()
     }
 
+    private fun note(outcome: Outcome) {
+        if (outcome is Outcome.Response && outcome.status != 503) {
+            answeredAt = desk.now
+            troubledSince = null
+        } else if (troubledSince == null) {
+            troubledSince = desk.now
+        }
+    }
+
     private fun limited(outcome: Outcome) = outcome is Outcome.Response && outcome.status == 429
 
     private fun <T> interpret(outcome: Outcome, read: (Int, String) -> Result<T>): Result<T> =
