--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -135,7 +135,7 @@
             val placement = machine.placed(reported)
             if (placement != null) {
                 placement.shownTick = report.tick
-                if (reported.status == TaskStatus.ENDED) ended(machine, placement, reported)
+                if (reported.status == TaskStatus.ENDED) ended(machine, placement, reported, report)
                 else progressed(machine, placement, reported.status)
                 continue
             }
@@ -185,8 +185,15 @@
         }
     }
 
-    private fun ended(machine: Machine, placement: Placement, reported: ReportedTask) {
+    private fun ended(
+        machine: Machine,
+        placement: Placement,
+        reported: ReportedTask,
+        report: Report,
+    ) {
         val job = placement.job
+        // A copy from before this leader's time frees nothing; what is done stays done.
+        if (reported.cause != "done" && report.token != token.value) return
         when (reported.cause) {
             "done" -> {
                 machine.failures.clear()
--- a/src/test/kotlin/wardmux/lead/TakeOverTest.kt
+++ b/src/test/kotlin/wardmux/lead/TakeOverTest.kt
@@ -100,6 +100,27 @@
         assertEquals(true, answer?.first in listOf(421, 503))
     }
 
+    @Test
+    fun `a report under an older token frees no placement`() {
+        rig.accept(spec(1))
+        placed("i-000001", "a")
+        rig.run(2.secs)
+        val token = token()
+        val stopped = """{"piece":"job-000001/0","try":1,"status":"ended","cause":"stopped"}"""
+        hello("i-000001", "a", token - 1, stopped)
+        repeat(4) {
+            hello("i-000002", "a", token)
+            rig.run(0.5.secs)
+        }
+        assertFalse(rig.direct.any { "job-000001/0" in it }, "it may be a copy")
+        hello("i-000001", "a", token, stopped)
+        repeat(4) {
+            hello("i-000002", "a", token)
+            rig.run(0.5.secs)
+        }
+        assertContains(rig.direct.joinToString(), """"job-000001/0","try":2""")
+    }
+
     @Test
     fun `a late report gets no orders and proves nothing`() {
         rig.accept(spec(1))
