--- a/src/test/kotlin/wardmux/lead/TakeOverTest.kt
+++ b/src/test/kotlin/wardmux/lead/TakeOverTest.kt
@@ -31,6 +31,13 @@
     private fun hello(machine: String, zone: String, token: Long, tasks: String = ""): String =
         ByHand(rig, machine, zone).also { it.tick = tick++ }.hello(token, tasks)
 
+    /** With time for orders to go out after each. */
+    private fun reportOften(times: Int, machine: String, zone: String, token: Long) =
+        repeat(times) {
+            hello(machine, zone, token)
+            rig.run(0.5.secs)
+        }
+
     private fun token(): Long = ByHand(rig, "i-000099").also { it.tick = tick++ }.token()
 
     @Test
@@ -63,15 +70,9 @@
         placed("i-000009", "b")
         rig.run(2.secs)
         val token = token()
-        repeat(6) {
-            hello("i-000001", "a", token)
-            rig.run(0.5.secs)
-        }
+        reportOften(6, "i-000001", "a", token)
         assertFalse(rig.direct.any { "job-000001/1" in it }, "started in the other zone")
-        repeat(4) {
-            hello("i-000002", "b", token)
-            rig.run(0.5.secs)
-        }
+        reportOften(4, "i-000002", "b", token)
         val last = hello("i-000002", "b", token)
         assertContains(rig.direct.joinToString() + last, "job-000001/1")
     }
@@ -108,16 +109,10 @@
         val token = token()
         val stopped = """{"piece":"job-000001/0","try":1,"status":"ended","cause":"stopped"}"""
         hello("i-000001", "a", token - 1, stopped)
-        repeat(4) {
-            hello("i-000002", "a", token)
-            rig.run(0.5.secs)
-        }
+        reportOften(4, "i-000002", "a", token)
         assertFalse(rig.direct.any { "job-000001/0" in it }, "it may be a copy")
         hello("i-000001", "a", token, stopped)
-        repeat(4) {
-            hello("i-000002", "a", token)
-            rig.run(0.5.secs)
-        }
+        reportOften(4, "i-000002", "a", token)
         assertContains(rig.direct.joinToString(), """"job-000001/0","try":2""")
     }
 
