--- a/src/test/kotlin/wardmux/sim/RulesTest.kt
+++ b/src/test/kotlin/wardmux/sim/RulesTest.kt
@@ -5,9 +5,6 @@
 import kotlin.test.assertTrue
 import wardmux.Micros
 import wardmux.app.TeamFacts
-import wardmux.intake.JobSpec
-import wardmux.intake.Shape
-import wardmux.intake.Urgency
 import wardmux.secs
 
 /** Each rule is broken on purpose: a checker that cannot fail checks nothing. */
@@ -16,27 +13,16 @@
     private val job = "job-000001"
 
     private fun spec(tasks: Int = 3) =
-        JobSpec(
-            job,
-            "c",
-            "t",
-            Shape.BATCH,
-            Urgency.HIGH,
-            tasks,
-            8.0,
-            0.0,
-            1.0,
-            "i",
-            1.0,
-            types = listOf("mid"),
-            zone = null,
-            oneZone = false,
-            spread = false,
-            spot = false,
-            estimateS = 5.0,
-            checkpointS = 0.0,
-            saveS = 0.0,
-        )
+        plainJob(tasks, job)
+            .copy(
+                team = "t",
+                cpus = 8.0,
+                image = "i",
+                imageGb = 1.0,
+                types = listOf("mid"),
+                spot = false,
+                estimateS = 5.0,
+            )
 
     private fun start(
         task: Int,
