--- a/src/main/kotlin/wardmux/app/Controller.kt
+++ b/src/main/kotlin/wardmux/app/Controller.kt
@@ -1,7 +1,6 @@
 package wardmux.app
 
 import java.net.URLDecoder
-import kotlinx.serialization.SerializationException
 import wardmux.Desk
 import wardmux.Effect
 import wardmux.Input
@@ -12,7 +11,7 @@
 import wardmux.cloud.CloudClient
 import wardmux.cloud.TypeBook
 import wardmux.fleet.Redirect
-import wardmux.fleet.Report
+import wardmux.fleet.ReportReader
 import wardmux.intake.Intake
 import wardmux.intake.SubmissionReader
 import wardmux.lead.Leadership
@@ -21,6 +20,8 @@
 import wardmux.logger
 import wardmux.peers.BeatCodec
 import wardmux.peers.Peers
+import wardmux.relay.Relay
+import wardmux.relay.RelayCodec
 import wardmux.secs
 import wardmux.store.StateStore
 import wardmux.store.lenientJson
@@ -40,6 +41,7 @@
     private val cloud = CloudClient(desk, platform.facts.cloud.rps)
     private val types = TypeBook(desk, store, cloud)
     private val peers = Peers(desk, platform.member, platform.siblings.map { it.member })
+    private val reader = ReportReader()
     private val intake = Intake(desk, store, types, platform.facts.teams, ::progressOf)
     private var term: Term? = null
     private val leadership =
@@ -57,6 +59,17 @@
                 },
         )
 
+    private val relay =
+        Relay(
+            desk,
+            leadership,
+            platform.member,
+            boot,
+            platform.facts.workers,
+            peers::wantsRelays,
+            ::sendToLeader,
+        )
+
     private fun begin(role: Role.Leader) {
         term =
             Term(
@@ -68,6 +81,7 @@
                 cloud,
                 platform,
                 operators,
+                reader,
                 intake::learnFinal,
                 peers::hearsOthers,
             )
@@ -99,8 +113,10 @@
         intake.tick()
         types.tick(leading = term != null)
         term?.tick()
+        relay.tick()
         val role = leadership.role as? Role.Leader
-        peers.tick(role?.token, store.answeredAt) { term?.progress().orEmpty() }
+        val wantsRelays = term?.wantsRelays == true
+        peers.tick(role?.token, wantsRelays, store.answeredAt) { term?.progress().orEmpty() }
     }
 
     private fun call(call: Input.Call) {
@@ -150,29 +166,43 @@
 
     private fun hello(call: Input.Call) {
         val report =
-            try {
-                lenientJson.decodeFromString(Report.serializer(), call.body.decodeToString())
-            } catch (e: SerializationException) {
-                return desk.answer(call.id, 400, """{"error":"not a report"}""")
-            } catch (e: IllegalArgumentException) {
-                return desk.answer(call.id, 400, """{"error":"not a report"}""")
-            }
+            reader.read(call.body)
+                ?: return desk.answer(call.id, 400, """{"error":"not a report"}""")
         leadership.seen(Token(report.token))
         val current = term
         if (current != null) return current.hello(call.id, report)
-        val leader = leadership.leaderToName ?: return desk.answer(call.id, 421)
-        val body = lenientJson.encodeToString(Redirect.serializer(), Redirect(leader))
-        desk.answer(call.id, 421, body)
+        if (!relay.hello(call.id, report, call.body)) sendToLeader(call.id)
+    }
+
+    private fun sendToLeader(call: Long) {
+        val leader = leadership.leaderToName ?: return desk.answer(call, 421)
+        desk.answer(call, 421, lenientJson.encodeToString(Redirect.serializer(), Redirect(leader)))
     }
 
     private fun peerCall(call: Input.Call, path: String) {
-        val beat = if (path == Peers.PATH) BeatCodec.decode(call.body) else null
+        when (path) {
+            Peers.PATH -> beat(call)
+            RelayCodec.PATH -> batch(call)
+            else -> desk.answer(call.id, 404)
+        }
+    }
+
+    private fun beat(call: Input.Call) {
+        val beat = BeatCodec.decode(call.body)
         if (beat == null || !peers.knows(beat.member)) return desk.answer(call.id, 400)
         peers.received(beat)
         beat.token?.let { leadership.heard(beat.member, Token(it)) }
         desk.answer(call.id, 200)
     }
 
+    private fun batch(call: Input.Call) {
+        val batch = RelayCodec.batch(call.body)
+        if (batch == null || !peers.knows(batch.member)) return desk.answer(call.id, 400)
+        leadership.seen(Token(batch.token))
+        val answer = term?.take(batch) ?: return desk.answer(call.id, 409)
+        desk.answerBytes(call.id, 200, RelayCodec.encode(answer))
+    }
+
     private companion object {
         val ALONE_AFTER = 3.secs
     }
--- a/src/main/kotlin/wardmux/app/Daemon.kt
+++ b/src/main/kotlin/wardmux/app/Daemon.kt
@@ -20,10 +20,10 @@
     private val group = NioEventLoopGroup(1)
     private val core = Controller(platform, operators, boot())
     private val limit = platform.facts.limits.fdLimit
+    private val connections = limit - RESERVED_SOCKETS.coerceAtMost(limit / 2)
     private val server =
-        HttpServer(group, limit - RESERVED_SOCKETS.coerceAtMost(limit / 2), IDLE_SECONDS) { arrival
-            ->
-            feed(Input.Call(arrival.id, arrival.port, arrival.method, arrival.path, arrival.body))
+        HttpServer(group, connections, (connections * WORKERS_PART).toInt(), IDLE_SECONDS) {
+            feed(Input.Call(it.id, it.port, it.method, it.path, it.body))
         }
     private val clients = HashMap<Target, HttpClient>()
     private val workers =
@@ -120,7 +120,10 @@
         val NOWHERE = InetSocketAddress("0.0.0.0", 1)
         val TICK = 100.millis
         const val IDLE_SECONDS = 90L
-        const val RESERVED_SOCKETS = 128
+
+        /** For the services, siblings and direct orders, which must get through at any load. */
+        const val RESERVED_SOCKETS = 192
+        const val WORKERS_PART = 0.85
         const val STATE_CONNECTIONS = 24
         const val CLOUD_CONNECTIONS = 4
         const val SIBLING_CONNECTIONS = 2
--- a/src/main/kotlin/wardmux/app/OperatorSettings.kt
+++ b/src/main/kotlin/wardmux/app/OperatorSettings.kt
@@ -32,6 +32,8 @@
     @SerialName("refused_pause_s") val refusedPauseS: Double = 15.0,
     /** Wait after which a job that has not begun goes before all others of its team. */
     @SerialName("longest_wait_s") val longestWaitS: Double = 120.0,
+    /** Reports a second for each whole core above which followers take reports too. */
+    @SerialName("reports_per_core") val reportsPerCore: Double = 500.0,
 ) {
     /** What is wrong, in one line that names the field, or null. */
     fun problem(): String? =
@@ -49,6 +51,7 @@
                 range("call_back_after_s", callBackAfterS, 0.0, 3600.0),
                 range("refused_pause_s", refusedPauseS, 0.5, 3600.0),
                 range("longest_wait_s", longestWaitS, 1.0, 86400.0),
+                range("reports_per_core", reportsPerCore, 0.0, 1e9),
             )
             .firstOrNull { it != null }
 
--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -33,6 +33,8 @@
     private val loaded: () -> Boolean,
     private val condemn: (Machine, String) -> Unit,
     private val seen: (Token) -> Unit,
+    /** Whom a worker that reports here is to be sent to, or null if it stays. */
+    private val sendAway: () -> String?,
 ) {
     private val log = logger<Fleet>()
 
@@ -50,30 +52,65 @@
         return machine
     }
 
+    /** A report that came to this controller itself. */
     fun hello(call: Long, report: Report) {
+        if (MachineId(report.machine) in gone) return desk.answer(call, 503)
+        val machine = reporting(report) ?: return answer(call, emptyList())
+        if (!mayAnswer(machine, report)) return desk.answer(call, 503)
+        if (sendOn(machine)) return desk.answer(call, 421)
+        sendAway()?.let {
+            return desk.answer(call, 421, lenientJson.encodeToString(redirect, Redirect(it)))
+        }
+        answer(call, hear(machine, report, null, desk.now))
+    }
+
+    /**
+     * One that a relay has answered, or null if it is not to answer this machine again; otherwise
+     * what the machine is to be told, but for starts: these go to the machine itself, so that one
+     * under way can be told from one that is not.
+     */
+    fun relayed(report: Report, relay: String, sentAt: Micros): List<Order>? {
+        if (MachineId(report.machine) in gone) return null
+        val machine = reporting(report) ?: return emptyList()
+        // It was answered all the same, so its lease may run from here.
+        machine.renewedAt = desk.now
+        if (!mayAnswer(machine, report)) return null
+        return hear(machine, report, relay, sentAt)
+    }
+
+    /** Null if nothing can be made of the machine. */
+    private fun reporting(report: Report): Machine? {
         val id = MachineId(report.machine)
-        if (id in gone) return desk.answer(call, 503)
-        val known = cluster.machines[id]
-        val machine =
-            known
-                ?: machine(id, report.type, report.zone, report.spot)
-                ?: return answer(call, emptyList())
-        if (known == null) machine.rumour = true
-        // Not renewed: its lease is to end if its deletion takes long.
-        if (machine.condemned) {
-            if (isNewer(machine, report)) note(machine, report)
-            return desk.answer(call, 503)
+        cluster.machines[id]?.let {
+            return it
         }
-        if (sendOn(machine)) return desk.answer(call, 421)
+        val machine = machine(id, report.type, report.zone, report.spot) ?: return null
+        machine.rumour = true
+        return machine
+    }
+
+    /** Not one that is given up: its lease is to end if its deletion takes long. */
+    private fun mayAnswer(machine: Machine, report: Report): Boolean {
+        if (machine.condemned && isNewer(machine, report)) note(machine, report, desk.now)
+        return !machine.condemned
+    }
+
+    private fun hear(
+        machine: Machine,
+        report: Report,
+        relay: String?,
+        heardAt: Micros,
+    ): List<Order> {
         // Any report that is answered may renew the lease, also one that is no sign of life.
         machine.renewedAt = desk.now
         // Late, a copy, or overtaken by a direct order's answer: it shows nothing.
-        if (!isNewer(machine, report)) return answer(call, emptyList())
-        note(machine, report)
-        if (!loaded()) return answer(call, emptyList())
+        if (!isNewer(machine, report)) return emptyList()
+        note(machine, report, heardAt)
+        machine.via = relay
+        if (!loaded()) return emptyList()
         reconcile(machine, report)
         proveAbsent(machine, report)
-        answer(call, orders(machine, report))
+        return orders(machine, report, starts = relay == null)
     }
 
     /**
@@ -93,7 +130,7 @@
         report.shift > machine.shift ||
             (report.shift == machine.shift && report.tick > machine.tick)
 
-    private fun note(machine: Machine, report: Report) {
+    private fun note(machine: Machine, report: Report, at: Micros) {
         if (report.shift > machine.shift) {
             // A new session begins with nothing on the machine; its images stay.
             for (placement in machine.placements.values.toList()) {
@@ -116,7 +153,7 @@
             machine.confirmed = true
             machine.rumour = false
             // Under an older token it may be a copy from before this leader's time.
-            machine.heardAt = desk.now
+            machine.heardAt = maxOf(machine.heardAt ?: at, at)
             machine.probeFailed = false
         } else if (machine.firstRumourAt == null) {
             machine.firstRumourAt = desk.now
@@ -239,7 +276,7 @@
         cluster.changed()
     }
 
-    private fun orders(machine: Machine, report: Report): List<Order> {
+    private fun orders(machine: Machine, report: Report, starts: Boolean): List<Order> {
         val orders = ArrayList<Order>()
         for (reported in report.tasks) {
             if (reported.status == TaskStatus.ENDED) {
@@ -256,7 +293,7 @@
                 orders.add(Order.halt(reported.task, reported.attempt, within.seconds))
             }
         }
-        if (!sure()) return orders
+        if (!starts || !sure()) return orders
         for (placement in machine.placements.values) {
             if (orders.size >= MAX_ORDERS) break
             if (placement.shownTick == report.tick || !startable(machine, placement)) continue
@@ -351,6 +388,8 @@
         desk.send(target, "POST", "/do", bytes, DIRECT_TIME) { outcome ->
             machine.directBusy = false
             directOpen--
+            if (outcome is Outcome.Response) unreached.clear()
+            else unreached.putIfAbsent(machine, desk.now)
             if (starts.any { it.haltSent } || !machine.empty) cluster.due.add(machine)
             when (outcome) {
                 is Outcome.Response -> {
@@ -371,6 +410,18 @@
         }
     }
 
+    /**
+     * For a while now orders have reached no machine, although several of those that were tried
+     * were heard after that: through relays, then. Another controller may reach them.
+     */
+    val reachesNone: Boolean
+        get() =
+            unreached.size >= ENOUGH_UNREACHED &&
+                unreached.values.any { desk.now - it > UNREACHED_FOR } &&
+                unreached.count { (machine, at) -> machine.heardSince(at) } >= ENOUGH_UNREACHED
+
+    private fun Machine.heardSince(at: Micros) = !condemned && (heardAt ?: at) > at
+
     private fun settled(machine: Machine, shift: Long, starts: List<Placement>) {
         if (machine.shift != shift) return
         for (placement in starts) machine.loose.remove(placement.name to placement.attempt)
@@ -388,7 +439,7 @@
         seen(Token(report.token))
         if (cluster.machines[machine.id] !== machine) return
         if (MachineId(report.machine) != machine.id || !isNewer(machine, report)) return
-        note(machine, report)
+        note(machine, report, desk.now)
         if (loaded()) reconcile(machine, report)
     }
 
@@ -413,21 +464,27 @@
      */
     private val keepEnded = (workers.leaseS * KEPT_LEASES).secs
 
+    /** Machines that orders did not reach, and since when; empty once any is reached. */
+    private val unreached = HashMap<Machine, Micros>()
+
     /** Direct orders under way. */
     private var directOpen = 0
 
-    private companion object {
-        val DIRECT_TIME = 4.secs
-        const val MAX_DIRECT = 300
-        val REFUSED_PAUSE = 1.secs
-        val UNKNOWN_PAUSE = 3.secs
-        val FAILED_PAUSE = 8.secs
-        const val SICK_FAILURES = 3
-        const val MAX_ORDERS = 400
+    companion object {
+        private val redirect = Redirect.serializer()
+        private val DIRECT_TIME = 4.secs
+        private const val ENOUGH_UNREACHED = 6
+        private val UNREACHED_FOR = 3.secs
+        private const val MAX_DIRECT = 300
+        private val REFUSED_PAUSE = 1.secs
+        private val UNKNOWN_PAUSE = 3.secs
+        private val FAILED_PAUSE = 8.secs
+        private const val SICK_FAILURES = 3
+        private const val MAX_ORDERS = 400
         /** Each takes a connection of its own. */
-        const val MOST_DIRECT_OPEN = 96
-        const val KEPT_LEASES = 10.0
+        private const val MOST_DIRECT_OPEN = 96
+        private const val KEPT_LEASES = 10.0
         val SEND_ON_AFTER = 2.secs
-        const val SEND_ON_PART = 0.5
+        private const val SEND_ON_PART = 0.5
     }
 }
--- a/src/main/kotlin/wardmux/fleet/FleetHealth.kt
+++ b/src/main/kotlin/wardmux/fleet/FleetHealth.kt
@@ -20,6 +20,8 @@
     private val workers: WorkerFacts,
     private val operators: OperatorSettings,
     private val loaded: () -> Boolean,
+    /** The latest that a relay may have renewed a lease, of which the first is known. */
+    private val renewedAtLatest: (Micros, Micros) -> Micros,
     private val condemn: (Machine, String) -> Unit,
 ) {
     private val log = logger<FleetHealth>()
@@ -42,8 +44,7 @@
         val deaf = ArrayList<Machine>()
         for (machine in up) {
             val silence = desk.now - (machine.heardAt ?: continue)
-            if (desk.now - machine.renewedAt > leaseOver && !machine.empty) {
-                // It has taken this leader's token, so nobody else can have renewed its lease.
+            if (!machine.empty && isLeaseOver(machine)) {
                 log.info("the lease of {} is over", machine.id)
                 cluster.clear(machine, "lease over")
             }
@@ -70,6 +71,15 @@
         watchUnheard()
     }
 
+    /**
+     * It has taken this leader's token, so nobody but this leader and its relays can have renewed
+     * its lease.
+     */
+    private fun isLeaseOver(machine: Machine): Boolean {
+        if (desk.now - machine.renewedAt <= leaseOver) return false
+        return desk.now - renewedAtLatest(machine.renewedAt, leaseOver) > leaseOver
+    }
+
     /**
      * Asks a machine whose report is overdue. An answer is a sign of life like a report; that none
      * comes is a second reason to give it up, and so it is given up sooner.
--- a/src/main/kotlin/wardmux/fleet/Machine.kt
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -23,6 +23,9 @@
     /** Known from reports under an older token only: it may be gone for long. */
     var rumour = false
 
+    /** The relay that its last report came through, or null if it came to the leader itself. */
+    var via: String? = null
+
     /** When an unsure leader last sent it on to another controller. */
     var sentOnAt = Micros.LONG_AGO
 
--- a/src/main/kotlin/wardmux/http/HttpServer.kt
+++ b/src/main/kotlin/wardmux/http/HttpServer.kt
@@ -29,6 +29,8 @@
 import wardmux.logger
 
 const val MAX_BODY_BYTES = 64 * 1024
+private const val MAX_PEER_BYTES = 1024 * 1024
+private const val WORKERS_PATH = "/hello"
 
 /** A request as it came in; answered with [HttpServer.answer]. */
 class Arrival(
@@ -43,6 +45,8 @@
 class HttpServer(
     private val group: EventLoopGroup,
     private val maxConnections: Int,
+    /** So many of them may be workers': users always get through. */
+    private val maxWorkers: Int,
     private val idleSeconds: Long,
     private val onArrival: (Arrival) -> Unit,
 ) {
@@ -53,6 +57,7 @@
     private val times = AnswerTimes("answers")
     private var lastId = 0L
     private var open = 0
+    private var workers = 0
 
     fun listen(address: InetSocketAddress, port: Port): Channel =
         ServerBootstrap()
@@ -68,7 +73,7 @@
                             .pipeline()
                             .addLast(ReadTimeoutHandler(idleSeconds, TimeUnit.SECONDS))
                             .addLast(HttpServerCodec(4096, 8192, 8192))
-                            .addLast(HttpObjectAggregator(MAX_BODY_BYTES))
+                            .addLast(HttpObjectAggregator(maxBody(port)))
                             .addLast(Connection(port))
                     }
                 }
@@ -77,6 +82,9 @@
             .sync()
             .channel()
 
+    /** What the controllers tell each other is not bound by PROTOCOL. */
+    private fun maxBody(port: Port) = if (port == Port.API) MAX_BODY_BYTES else MAX_PEER_BYTES
+
     fun answer(id: Long, status: Int, body: ByteArray, retryAfterS: Int?) {
         val waiting = pending.remove(id) ?: return
         val now = System.nanoTime()
@@ -110,6 +118,7 @@
 
     private inner class Connection(private val port: Port) : ChannelInboundHandlerAdapter() {
         private var current = 0L
+        private var worker = false
 
         override fun channelActive(context: ChannelHandlerContext) {
             open++
@@ -121,9 +130,17 @@
 
         override fun channelInactive(context: ChannelHandlerContext) {
             open--
+            if (worker) workers--
             pending.remove(current)
         }
 
+        /** False if this is one worker more than there are to be. */
+        private fun admits(path: String): Boolean {
+            if (worker || port != Port.API || path != WORKERS_PATH) return true
+            worker = true
+            return ++workers <= maxWorkers
+        }
+
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
             try {
                 val request = message as? FullHttpRequest ?: return
@@ -131,6 +148,10 @@
                     respond(context.channel(), false, 400, ByteArray(0), null)
                     return
                 }
+                if (!admits(request.uri())) {
+                    respond(context.channel(), false, 503, ByteArray(0), 1)
+                    return
+                }
                 val body = ByteArray(request.content().readableBytes())
                 request.content().readBytes(body)
                 val id = ++lastId
--- a/src/main/kotlin/wardmux/lead/Term.kt
+++ b/src/main/kotlin/wardmux/lead/Term.kt
@@ -21,11 +21,15 @@
 import wardmux.fleet.FleetHealth
 import wardmux.fleet.Machine
 import wardmux.fleet.Report
+import wardmux.fleet.ReportReader
 import wardmux.intake.JobRecord
 import wardmux.intake.JobState
 import wardmux.logger
 import wardmux.millis
 import wardmux.peers.Progress
+import wardmux.relay.Batch
+import wardmux.relay.BatchAnswer
+import wardmux.relay.Relays
 import wardmux.secs
 import wardmux.store.Event
 import wardmux.store.Item
@@ -46,6 +50,7 @@
     cloud: CloudClient,
     platform: PlatformSettings,
     private val operators: OperatorSettings,
+    private val reader: ReportReader,
     private val learnFinal: (JobId, JobState) -> Unit,
     /** True if another controller could lead. */
     private val hasSiblings: () -> Boolean,
@@ -78,9 +83,35 @@
             { loaded },
             ::condemn,
             leadership::seen,
+            ::sendAway,
         )
+    private val relays =
+        Relays(
+            desk,
+            cluster,
+            fleet,
+            reader,
+            platform.member,
+            role.token,
+            facts.workers,
+            facts.limits,
+            operators,
+            platform.siblings.isNotEmpty(),
+        ) {
+            leadership.unsureSince
+        }
     private val health =
-        FleetHealth(desk, cluster, fleet, types, facts.workers, operators, { loaded }, ::condemn)
+        FleetHealth(
+            desk,
+            cluster,
+            fleet,
+            types,
+            facts.workers,
+            operators,
+            { loaded },
+            relays::renewedAtLatest,
+            ::condemn,
+        )
     private val hiring =
         Hiring(
             desk,
@@ -117,20 +148,38 @@
         over = true
     }
 
+    val wantsRelays: Boolean
+        get() = relays.wanted
+
+    private fun sendAway(): String? = relays.sendAway()
+
     fun hello(call: Long, report: Report) {
         fleet.hello(call, report)
+        heard()
+    }
+
+    /** What a relay has heard; null if it is not for this leader. */
+    fun take(batch: Batch): BatchAnswer? {
+        if (batch.token != role.token.value) return null
+        return relays.take(batch).also { heard() }
+    }
+
+    private fun heard() {
         // What ended makes room; but a plan is not made for each report.
         if (planned != cluster.changes && desk.now >= cycleAt) cycle()
     }
 
     fun tick() {
         cluster.reference = types.types?.maxByOrNull { it.cpus }
+        relays.tick(loaded)
         loadAt?.let { if (desk.now >= it && types.types != null) load() }
         if (!loaded) return
         watchAt?.let { if (desk.now >= it) watch() }
         health.watch()
-        if (leadership.sure && desk.now - startedAt > operators.leaderLeaseS.secs && isCutOff()) {
-            return leadership.abdicate("most machines are silent")
+        if (leadership.sure && desk.now - startedAt > operators.leaderLeaseS.secs) {
+            cutOff()?.let {
+                return leadership.abdicate(it)
+            }
         }
         hiring.tick(leadership.sure)
         if (leadership.sure && desk.now >= preemptAt) {
@@ -155,7 +204,14 @@
         ledger.flush()
     }
 
-    private fun isCutOff() = hasSiblings() && health.isLeftAlone()
+    /** Why another controller may be better placed to lead, or null. */
+    private fun cutOff(): String? =
+        when {
+            !hasSiblings() -> null
+            health.isLeftAlone() -> "most machines are silent"
+            fleet.reachesNone -> "orders reach no machine"
+            else -> null
+        }
 
     private fun sweep() {
         cluster.jobs.values.removeIf {
--- a/src/main/kotlin/wardmux/peers/Beat.kt
+++ b/src/main/kotlin/wardmux/peers/Beat.kt
@@ -16,6 +16,8 @@
     /** How long ago the state service last answered it, in microseconds. */
     val stateSilence: Long = 0,
     val progress: List<Progress> = emptyList(),
+    /** The leader wants the others to take workers' reports too. */
+    val wantsRelays: Boolean = false,
 )
 
 @OptIn(ExperimentalSerializationApi::class)
--- a/src/main/kotlin/wardmux/peers/Peers.kt
+++ b/src/main/kotlin/wardmux/peers/Peers.kt
@@ -24,6 +24,7 @@
     private var progress = emptyMap<String, Progress>()
     private var progressAt = Micros.LONG_AGO
     private var progressToken = 0L
+    private var relaysWanted = false
 
     fun knows(member: String) = member in siblings
 
@@ -39,8 +40,13 @@
         progressToken = token
         progress = beat.progress.associateBy { it.job }
         progressAt = desk.now
+        relaysWanted = beat.wantsRelays
     }
 
+    /** The leader of this token has said so in its last beat. */
+    fun wantsRelays(leader: Token) =
+        relaysWanted && progressToken == leader.value && desk.now - progressAt < STALE
+
     fun hearsOthers() = heard.values.any { desk.now - it.at < STALE }
 
     /**
@@ -54,11 +60,16 @@
         return lately.isEmpty() || lately.any { it.stateSilence < ANSWERED_LATELY }
     }
 
-    fun tick(token: Token?, stateAnsweredAt: Micros, progress: () -> List<Progress>) {
+    fun tick(
+        token: Token?,
+        wantsRelays: Boolean,
+        stateAnsweredAt: Micros,
+        progress: () -> List<Progress>,
+    ) {
         if (desk.now < beatAt) return
         beatAt = desk.now + PERIOD
         val silence = (desk.now - stateAnsweredAt).value
-        val body = BeatCodec.encode(Beat(member, token?.value, silence, progress()))
+        val body = BeatCodec.encode(Beat(member, token?.value, silence, progress(), wantsRelays))
         for (sibling in siblings) {
             if (!busy.add(sibling)) continue
             desk.send(Target.Sibling(sibling), "POST", PATH, body, TIMEOUT) { busy.remove(sibling) }
--- /dev/null
+++ b/src/main/kotlin/wardmux/relay/Relay.kt
@@ -0,0 +1,328 @@
+package wardmux.relay
+
+import it.unimi.dsi.fastutil.longs.Long2LongLinkedOpenHashMap
+import org.agrona.collections.Long2ObjectHashMap
+import wardmux.Desk
+import wardmux.Micros
+import wardmux.Outcome
+import wardmux.Target
+import wardmux.Token
+import wardmux.app.WorkerFacts
+import wardmux.fleet.HelloAnswer
+import wardmux.fleet.Order
+import wardmux.fleet.Redirect
+import wardmux.fleet.Report
+import wardmux.lead.Leadership
+import wardmux.lead.Role
+import wardmux.logger
+import wardmux.millis
+import wardmux.secs
+import wardmux.store.lenientJson
+
+/**
+ * A follower's part in taking reports. It decides nothing: it answers workers under the leader's
+ * token while it holds a grant of that leader, hands on what they say, and tells them what the
+ * leader has left for them. Starts never go this way.
+ *
+ * A grant is limited in time, counted from when it was asked for, so a relay that is cut off,
+ * refused or frozen stops by itself; one that was restarted is another process and has none.
+ */
+class Relay(
+    private val desk: Desk,
+    private val leadership: Leadership,
+    private val member: String,
+    private val boot: String,
+    private val workers: WorkerFacts,
+    /** The leader of this token has said lately that it wants relays. */
+    private val wantedBy: (Token) -> Boolean,
+    /** For a worker that this relay can't answer: sends it on. */
+    private val sendOn: (call: Long) -> Unit,
+) {
+    /** A machine that reports here. */
+    private class Seen {
+        /** The last report that was handed on, its bytes and its number; 0 if none was. */
+        var report: Report? = null
+        var body = ByteArray(0)
+        var number = 0L
+        var heardAt = Micros.ZERO
+        var refused = false
+        var mail: Mail? = null
+        var sentOnAt = Micros.LONG_AGO
+
+        /** The token under which a report with an older one was let pass once. */
+        var learns: Token? = null
+    }
+
+    private class Parked(val call: Long, val report: Report, val body: ByteArray, val at: Micros)
+
+    private val log = logger<Relay>()
+
+    /** The leader that is asked, and its token; null while none is known, or while leading. */
+    private var leader: String? = null
+    private var token: Token? = null
+    private var grantedUntil = Micros.LONG_AGO
+
+    /** Null until the leader has said whether it wants relays. */
+    private var wanted: Boolean? = null
+    private var echo = 0L
+    private var echoAt = Micros.ZERO
+    private var busy = false
+    private var sentAt = Micros.LONG_AGO
+    private var failedAt = Micros.LONG_AGO
+    private var urgent = false
+    private var lastNumber = 0L
+    private val machines = HashMap<String, Seen>()
+    private val byNumber = Long2ObjectHashMap<String>()
+
+    /** Machines whose report is to be handed on whole. */
+    private val whole = LinkedHashSet<String>()
+
+    /** Signs of life: the newest tick by the number of the report that still holds. */
+    private val signs = Long2LongLinkedOpenHashMap()
+    private val parked = ArrayDeque<Parked>()
+    private var shedLeft = 0
+    private var shedTo: String? = null
+    private var sendsOn = false
+    private var sweepAt = Micros.ZERO
+
+    /** The answer without orders, which most workers get. */
+    private var plainAnswer = ByteArray(0)
+
+    private val granted: Boolean
+        get() = token != null && desk.now < grantedUntil
+
+    /** False if this report is not for this controller to answer. */
+    fun hello(call: Long, report: Report, body: ByteArray): Boolean {
+        follow()
+        if (wanted == false) return false
+        if (granted) {
+            if (Token(report.token) > (token ?: return false)) {
+                // Another leads: nothing more is answered under this token.
+                grantedUntil = Micros.LONG_AGO
+                return false
+            }
+            take(call, report, body)
+            return true
+        }
+        // A grant is a matter of milliseconds; sent elsewhere, all would come back later.
+        val expected =
+            token != null && desk.now - failedAt > FAILED_RECENTLY && parked.size < MOST_PARKED
+        if (!expected) return false
+        parked.addLast(Parked(call, report, body, desk.now))
+        return true
+    }
+
+    /** Whose relay this is follows from who leads. */
+    private fun follow() {
+        val follower = leadership.role as? Role.Follower
+        val name = follower?.leader?.takeIf { it != member }
+        val theirs = if (name == null) null else follower.token
+        if (theirs == token) return
+        // Between two leaders the old grant goes on until it is over, or a new leader is known.
+        if (theirs == null && follower != null) return
+        token = theirs
+        leader = if (theirs == null) null else name
+        grantedUntil = Micros.LONG_AGO
+        wanted = null
+        echo = 0
+        failedAt = Micros.LONG_AGO
+        sentAt = Micros.LONG_AGO
+        shedLeft = 0
+        sendsOn = false
+        whole.clear()
+        signs.clear()
+        byNumber.clear()
+        for (seen in machines.values) {
+            seen.report = null
+            seen.number = 0
+            seen.refused = false
+            seen.mail = null
+        }
+        if (theirs != null) plainAnswer = answerBody(theirs, emptyList())
+    }
+
+    private fun answerBody(token: Token, orders: List<Order>) =
+        lenientJson
+            .encodeToString(HelloAnswer.serializer(), HelloAnswer(token.value, orders))
+            .encodeToByteArray()
+
+    private fun take(call: Long, report: Report, body: ByteArray) {
+        val seen = machines.getOrPut(report.machine) { Seen() }
+        seen.heardAt = desk.now
+        val target = shedTo
+        when {
+            seen.refused -> return desk.answer(call, 503)
+            shedLeft > 0 && target != null -> {
+                shedLeft--
+                return desk.answer(call, 421, redirect(target))
+            }
+            sendsOn && desk.now - seen.sentOnAt > workers.leaseS.secs * SEND_ON_PART -> {
+                seen.sentOnAt = desk.now
+                return desk.answer(call, 421)
+            }
+        }
+        note(seen, report, body)
+        val mail = seen.mail
+        seen.mail = null
+        val current = token ?: return
+        if (mail == null || mail.shift != report.shift) desk.answerBytes(call, 200, plainAnswer)
+        else desk.answerBytes(call, 200, answerBody(current, mail.orders))
+        if (urgent && desk.now - sentAt >= SPACING) hand()
+    }
+
+    private fun note(seen: Seen, report: Report, body: ByteArray) {
+        val last = seen.report
+        if (last != null && last.copy(tick = report.tick) == report) {
+            if (report.machine !in whole) signs.putAndMoveToLast(seen.number, report.tick)
+            else seen.body = body
+            return
+        }
+        // Answered, it takes the token and reports once more: enough that the leader hears that.
+        if (Token(report.token) < (token ?: return) && seen.learns != token) {
+            seen.learns = token
+            return
+        }
+        seen.report = report
+        seen.body = body
+        renumber(report.machine, seen)
+    }
+
+    private fun renumber(machine: String, seen: Seen) {
+        byNumber.remove(seen.number)
+        signs.remove(seen.number)
+        seen.number = ++lastNumber
+        byNumber[seen.number] = machine
+        whole.add(machine)
+        urgent = true
+    }
+
+    fun tick() {
+        follow()
+        val late = desk.now - LONGEST_PARKED
+        while (parked.isNotEmpty() && parked.first().at < late) sendOn(parked.removeFirst().call)
+        sweep()
+        val current = token ?: return
+        if (wanted == false) {
+            if (!wantedBy(current)) return
+            wanted = null
+        }
+        val pause = if (desk.now - failedAt < FAILED_RECENTLY) RETRY else PERIOD
+        val due = desk.now - sentAt
+        if (due >= pause || (urgent && due >= SPACING)) hand()
+    }
+
+    /**
+     * Forgets machines that report elsewhere, or no more; not one of which there is more to tell.
+     */
+    private fun sweep() {
+        if (desk.now < sweepAt || busy) return
+        sweepAt = desk.now + SWEEP_PERIOD
+        val old = desk.now - (workers.reportS * KEPT_REPORTS).secs - SWEEP_PERIOD
+        machines.entries.removeIf { (name, seen) ->
+            val gone = seen.heardAt < old && name !in whole && !signs.containsKey(seen.number)
+            if (gone) byNumber.remove(seen.number)
+            gone
+        }
+    }
+
+    /** Hands on what was heard, and asks to go on. */
+    private fun hand() {
+        val name = leader ?: return
+        val current = token ?: return
+        if (busy) return
+        val named = ArrayList<String>()
+        val reports = ArrayList<FullReport>()
+        var bytes = 0
+        val rest = whole.iterator()
+        while (rest.hasNext() && bytes < MOST_BYTES) {
+            val machine = rest.next()
+            rest.remove()
+            val seen = machines[machine] ?: continue
+            named.add(machine)
+            reports.add(FullReport(seen.number, seen.body))
+            bytes += seen.body.size
+        }
+        val told = ArrayList<Long>(signs.size * 2)
+        for (entry in signs.long2LongEntrySet()) {
+            told.add(entry.longKey)
+            told.add(entry.longValue)
+        }
+        signs.clear()
+        urgent = whole.isNotEmpty()
+        // What is left out here was answered too, so the leader may not take this for all.
+        val known = if (whole.isEmpty()) echo else 0
+        val since = (desk.now - echoAt).value
+        val batch = Batch(member, boot, current.value, known, since, reports, told)
+        busy = true
+        sentAt = desk.now
+        val askedAt = desk.now
+        desk.send(
+            Target.Sibling(name),
+            "POST",
+            RelayCodec.PATH,
+            RelayCodec.encode(batch),
+            TIMEOUT,
+        ) { outcome ->
+            busy = false
+            if (token == current) settle(outcome, askedAt, named, told)
+        }
+    }
+
+    private fun settle(outcome: Outcome, askedAt: Micros, named: List<String>, told: List<Long>) {
+        val answer =
+            if (outcome is Outcome.Response && outcome.status == 200)
+                RelayCodec.answer(outcome.body)
+            else null
+        if (answer == null || answer.token != token?.value) {
+            if (desk.now - failedAt > FAILED_RECENTLY) log.info("{} takes no batch", leader)
+            failedAt = desk.now
+            // All that was answered is told before the leader may take a batch for complete.
+            for (machine in named) if (machine in machines) whole.add(machine)
+            for (i in told.indices step 2) {
+                if (told[i] in byNumber && !signs.containsKey(told[i]))
+                    signs.put(told[i], told[i + 1])
+            }
+            return
+        }
+        echo = answer.clock
+        echoAt = desk.now
+        if (wanted != answer.wanted) log.info("relay of {}: {}", leader, answer.wanted)
+        wanted = answer.wanted
+        val length = Micros(answer.grant) * (1 - Leadership.DRIFT)
+        grantedUntil = if (answer.wanted) askedAt + length else Micros.LONG_AGO
+        for (number in answer.unknown) {
+            val machine = byNumber[number] ?: continue
+            renumber(machine, machines[machine] ?: continue)
+        }
+        for (mail in answer.mail) machines[mail.machine]?.mail = mail
+        for (machine in answer.refuse) machines[machine]?.refused = true
+        shedLeft = answer.shed
+        shedTo = answer.shedTo
+        sendsOn = answer.sendOn
+        flushParked()
+    }
+
+    private fun flushParked() {
+        val all = parked.toList()
+        parked.clear()
+        for (one in all) if (!hello(one.call, one.report, one.body)) sendOn(one.call)
+    }
+
+    private fun redirect(target: String) =
+        lenientJson.encodeToString(Redirect.serializer(), Redirect(target))
+
+    private companion object {
+        /** So many batches a second at most, and at least one in this time. */
+        val SPACING = 60.millis
+        val PERIOD = 1.secs
+        val RETRY = 300.millis
+        val TIMEOUT = 3.secs
+        val FAILED_RECENTLY = 2.secs
+        val LONGEST_PARKED = 1.secs
+        const val MOST_PARKED = 1_000
+        const val SEND_ON_PART = 0.5
+        const val KEPT_REPORTS = 3.0
+        val SWEEP_PERIOD = 5.secs
+        const val MOST_BYTES = 200_000
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/relay/RelayWire.kt
@@ -0,0 +1,84 @@
+package wardmux.relay
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
+import kotlinx.serialization.cbor.Cbor
+import wardmux.fleet.Order
+
+/** A worker's report that differs from the last one handed on, as the worker sent it. */
+@Serializable
+class FullReport(
+    /** What signs of life refer to: another number for each report that was handed on whole. */
+    val number: Long,
+    @OptIn(ExperimentalSerializationApi::class) @ByteString val body: ByteArray,
+)
+
+/**
+ * What a relay has heard since its last batch, and its wish to go on taking reports. A batch that
+ * is lost, late, doubled or out of order does no harm: what it says of a machine is held against
+ * the machine's session and tick, and a number that the leader does not know is asked for again.
+ */
+@Serializable
+class Batch(
+    val member: String,
+    /** Tells two processes of one member apart. */
+    val boot: String,
+    /** The leader that it is for. */
+    val token: Long,
+    /** The leader's clock in its last answer, 0 if none came yet. */
+    val echo: Long,
+    /** Time at the relay since that answer, in microseconds. */
+    val since: Long,
+    val reports: List<FullReport> = emptyList(),
+    /** Signs of life, two numbers each: of the report that still holds, and the tick. */
+    val signs: List<Long> = emptyList(),
+)
+
+/** What a machine is told with the answer to its next report. */
+@Serializable class Mail(val machine: String, val shift: Long, val orders: List<Order>)
+
+@Serializable
+class BatchAnswer(
+    val token: Long,
+    /** The leader's clock, to be echoed. */
+    val clock: Long,
+    /** False: the leader takes all reports itself. */
+    val wanted: Boolean = true,
+    /** How long the relay may answer workers, counted from when it sent the batch; microseconds. */
+    val grant: Long = 0,
+    /** Numbers that the leader does not know: their machines' reports are to be sent whole. */
+    val unknown: List<Long> = emptyList(),
+    val mail: List<Mail> = emptyList(),
+    /** Machines that are not to be answered any more. */
+    val refuse: List<String> = emptyList(),
+    /** So many workers are to be sent to [shedTo]. */
+    val shed: Int = 0,
+    val shedTo: String? = null,
+    /** The leader has been unsure of its lease for long enough that workers are sent on once. */
+    val sendOn: Boolean = false,
+)
+
+@OptIn(ExperimentalSerializationApi::class)
+object RelayCodec {
+    const val PATH = "/relay"
+    private val cbor = Cbor { ignoreUnknownKeys = true }
+
+    fun encode(batch: Batch): ByteArray = cbor.encodeToByteArray(Batch.serializer(), batch)
+
+    fun encode(answer: BatchAnswer): ByteArray =
+        cbor.encodeToByteArray(BatchAnswer.serializer(), answer)
+
+    fun batch(bytes: ByteArray): Batch? = decode(Batch.serializer(), bytes)
+
+    fun answer(bytes: ByteArray): BatchAnswer? = decode(BatchAnswer.serializer(), bytes)
+
+    /** Null if it is none; on bytes that are no CBOR the decoder fails in more than one way. */
+    private fun <T> decode(serializer: KSerializer<T>, bytes: ByteArray): T? =
+        try {
+            cbor.decodeFromByteArray(serializer, bytes)
+        } catch (e: RuntimeException) {
+            null
+        }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/relay/Relays.kt
@@ -0,0 +1,244 @@
+package wardmux.relay
+
+import org.agrona.collections.Long2ObjectHashMap
+import wardmux.Desk
+import wardmux.Micros
+import wardmux.Token
+import wardmux.app.LimitFacts
+import wardmux.app.OperatorSettings
+import wardmux.app.WorkerFacts
+import wardmux.dispatch.Cluster
+import wardmux.fleet.Fleet
+import wardmux.fleet.Report
+import wardmux.fleet.ReportReader
+import wardmux.lead.Leadership
+import wardmux.logger
+import wardmux.millis
+import wardmux.secs
+
+/**
+ * The leader's side of the relays: who may answer workers and until when, what their batches say,
+ * and how the workers are spread. Nothing of it outlasts the term: a successor has another token,
+ * and infers nothing of a machine that has not taken that.
+ */
+class Relays(
+    private val desk: Desk,
+    private val cluster: Cluster,
+    private val fleet: Fleet,
+    private val reader: ReportReader,
+    private val member: String,
+    private val token: Token,
+    private val workers: WorkerFacts,
+    private val limits: LimitFacts,
+    private val operators: OperatorSettings,
+    hasSiblings: Boolean,
+    private val unsureSince: () -> Micros?,
+) {
+    /** One process that was ever given a grant in this term. */
+    private class Seat(val member: String, val boot: String) {
+        /** By this controller's clock, from when it surely answers no more unless granted anew. */
+        var grantedUntil = Micros.LONG_AGO
+
+        /** All that it answered up to then has been told. */
+        var toldUntil = Micros.LONG_AGO
+        var batchAt = Micros.LONG_AGO
+        val reports = Long2ObjectHashMap<Report>()
+        val numbers = HashMap<String, Long>()
+        var shed = 0
+        var shedTo: String? = null
+    }
+
+    private val log = logger<Relays>()
+    private val electedAt = desk.now
+    private val seats = ArrayList<Seat>()
+    private val grant =
+        minOf(workers.leaseS.secs * GRANT_PART, LONGEST_GRANT).coerceAtLeast(SHORTEST_GRANT)
+    private var decideAt = Micros.LONG_AGO
+    private var shed = 0
+    private var shedTo: String? = null
+
+    /**
+     * Followers take reports too. At first they do, so that a new leader is not run over by all
+     * workers at once; they go on if it is more than this controller can carry.
+     */
+    var wanted = hasSiblings
+        private set
+
+    private val alone = !hasSiblings
+
+    fun take(batch: Batch): BatchAnswer {
+        val seat = seatOf(batch)
+        seat.batchAt = desk.now
+        // The clock that it was told is this one's; what can't be is passed over.
+        val echo = Micros(batch.echo).takeIf { batch.echo > 0 && it <= desk.now }
+        if (echo != null) seat.toldUntil = maxOf(seat.toldUntil, echo)
+        // When it was sent, or somewhat before: it may have been held up on its way.
+        val since = Micros(batch.since.coerceAtLeast(0))
+        val sentAt = if (echo == null) desk.now else minOf(desk.now, echo + since)
+        val mail = ArrayList<Mail>()
+        val refuse = ArrayList<String>()
+        val unknown = ArrayList<Long>()
+        for (full in batch.reports) {
+            val report = reader.read(full.body) ?: continue
+            seat.numbers.put(report.machine, full.number)?.let { seat.reports.remove(it) }
+            seat.reports[full.number] = report
+            hear(seat, report, sentAt, mail, refuse)
+        }
+        for (i in 0 until batch.signs.size - 1 step 2) {
+            val report = seat.reports[batch.signs[i]]
+            if (report == null) unknown.add(batch.signs[i])
+            else hear(seat, report.copy(tick = batch.signs[i + 1]), sentAt, mail, refuse)
+        }
+        if (wanted) {
+            val until = desk.now + grant * (1 + Leadership.DRIFT)
+            seat.grantedUntil = maxOf(seat.grantedUntil, until)
+        }
+        val answer =
+            BatchAnswer(
+                token.value,
+                desk.now.value,
+                wanted,
+                if (wanted) grant.value else 0,
+                unknown,
+                mail,
+                refuse,
+                seat.shed,
+                seat.shedTo,
+                unsureSince()?.let { desk.now - it > Fleet.SEND_ON_AFTER } == true,
+            )
+        seat.shed = 0
+        return answer
+    }
+
+    private fun seatOf(batch: Batch): Seat {
+        // What a former process of the member answered stays possible: its seat stays too.
+        seats
+            .find { it.member == batch.member && it.boot == batch.boot }
+            ?.let {
+                return it
+            }
+        log.info("{} takes reports", batch.member)
+        return Seat(batch.member, batch.boot).also { seats.add(it) }
+    }
+
+    private fun hear(
+        seat: Seat,
+        report: Report,
+        sentAt: Micros,
+        mail: MutableList<Mail>,
+        refuse: MutableList<String>,
+    ) {
+        val orders = fleet.relayed(report, seat.member, sentAt)
+        if (orders == null) {
+            refuse.add(report.machine)
+            seat.numbers.remove(report.machine)?.let { seat.reports.remove(it) }
+        } else if (orders.isNotEmpty()) {
+            mail.add(Mail(report.machine, report.shift, orders))
+        }
+    }
+
+    /**
+     * The latest that the lease of a machine last known to be renewed at [renewedAt] may have been
+     * renewed. A relay that has told all that it answered until the lease would have been over has
+     * not renewed it; any other may have done so as long as its grant ran.
+     */
+    fun renewedAtLatest(renewedAt: Micros, leaseOver: Micros): Micros {
+        var latest = renewedAt
+        for (seat in seats) {
+            if (seat.toldUntil >= renewedAt + leaseOver) continue
+            latest = maxOf(latest, minOf(seat.grantedUntil, desk.now))
+        }
+        return latest
+    }
+
+    /** Who answers workers besides this controller. */
+    private fun live() =
+        seats.filter { desk.now < it.grantedUntil && desk.now - it.batchAt < BATCH_STALE }
+
+    fun tick(loaded: Boolean) {
+        if (desk.now < decideAt) return
+        decideAt = desk.now + PERIOD
+        val old = desk.now - workers.leaseS.secs * KEPT_LEASES
+        seats.removeIf { it.grantedUntil < old && it.batchAt < old }
+        decide(loaded)
+        shed = 0
+        if (wanted) spread()
+    }
+
+    private fun decide(loaded: Boolean) {
+        if (alone) return
+        val known = cluster.machines.values.count { !it.condemned }
+        val reports = known / workers.reportS
+        val many =
+            reports > operators.reportsPerCore * limits.cpu ||
+                known > limits.fdLimit * SOCKETS_FOR_WORKERS
+        if (many && !wanted) {
+            log.info("{} machines: followers take reports too", known)
+            wanted = true
+        }
+        // Once only, when the machines of an earlier leader have been heard: no to and fro.
+        val heard = loaded && desk.now - electedAt > (workers.reportS * SETTLED_REPORTS).secs
+        if (!heard || settled) return
+        settled = true
+        if (!many) {
+            log.info("{} machines: this controller takes all reports", known)
+            wanted = false
+        }
+    }
+
+    private var settled = false
+
+    /**
+     * In small steps from who has too many to who has the fewest. The leader, which decides for
+     * all, counts for less than one of the others.
+     */
+    private fun spread() {
+        val live = live()
+        if (live.isEmpty()) return
+        val counts = HashMap<String, Int>()
+        for (machine in cluster.machines.values) {
+            if (machine.up && !machine.condemned) counts.merge(machine.via ?: member, 1, Int::plus)
+        }
+        val own = 1.0 / (live.size + 1)
+        val total = live.sumOf { counts[it.member] ?: 0 } + (counts[member] ?: 0)
+        val each = total / (live.size + own)
+        val least = live.minBy { counts[it.member] ?: 0 }
+        val room = (each - (counts[least.member] ?: 0)).toInt()
+        var step = minOf(room, maxOf(1, total / STEP_PART))
+        fun steps(count: Int, target: Double): Int {
+            val over = count - target * TOLERANCE - FEW
+            val part = minOf(step, over.toInt()).coerceAtLeast(0)
+            step -= part
+            return part
+        }
+        shed = steps(counts[member] ?: 0, each * own)
+        shedTo = least.member
+        for (seat in live) {
+            seat.shed = if (seat === least) 0 else steps(counts[seat.member] ?: 0, each)
+            seat.shedTo = least.member
+        }
+    }
+
+    /** Whom to send a worker that reports to this controller to, or null to answer it. */
+    fun sendAway(): String? {
+        if (shed <= 0) return null
+        shed--
+        return shedTo
+    }
+
+    private companion object {
+        const val GRANT_PART = 0.33
+        val LONGEST_GRANT = 8.secs
+        val SHORTEST_GRANT = 500.millis
+        const val KEPT_LEASES = 3.0
+        val PERIOD = 1.secs
+        val BATCH_STALE = 3.secs
+        const val SETTLED_REPORTS = 1.5
+
+        /** The rest is for users, siblings, direct orders and the services. */
+        const val SOCKETS_FOR_WORKERS = 0.5
+        const val STEP_PART = 100
+        const val TOLERANCE = 1.2
+        const val FEW = 3
+    }
+}
--- a/src/test/kotlin/wardmux/http/SocketTest.kt
+++ b/src/test/kotlin/wardmux/http/SocketTest.kt
@@ -22,7 +22,7 @@
 
     init {
         server =
-            HttpServer(group, maxConnections = 3, idleSeconds = 60) { arrival ->
+            HttpServer(group, maxConnections = 3, maxWorkers = 3, idleSeconds = 60) { arrival ->
                 val (status, body) =
                     rig.call(arrival.method, arrival.path, arrival.body) ?: (500 to "no answer")
                 server.answer(arrival.id, status, body.encodeToByteArray(), null)
--- /dev/null
+++ b/src/test/kotlin/wardmux/relay/RelayTest.kt
@@ -0,0 +1,149 @@
+package wardmux.relay
+
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlinx.serialization.json.Json
+import wardmux.Port
+import wardmux.fleet.Order
+import wardmux.peers.Beat
+import wardmux.peers.BeatCodec
+import wardmux.secs
+import wardmux.sim.ByHand
+import wardmux.sim.Rig
+
+/** A follower that takes reports for a leader, which is played here. */
+class RelayTest {
+    private val rig = Rig(siblings = listOf("n1"))
+    private val machine = ByHand(rig, "i-000001")
+    private val batches = ArrayList<Batch>()
+    private val token = 7L
+
+    /** What the leader answers; null: it is not reached. */
+    private var answer: (Batch) -> BatchAnswer? = { grant() }
+
+    private fun grant(mail: List<Mail> = emptyList(), unknown: List<Long> = emptyList()) =
+        BatchAnswer(token, rig.now.value, grant = 5_000_000, mail = mail, unknown = unknown)
+
+    init {
+        rig.writeLeased("leader", Json.parseToJsonElement("""{"member":"n1","boot":"x"}"""))
+        rig.sibling = { path, body ->
+            if (path != RelayCodec.PATH) null
+            else {
+                val batch = RelayCodec.batch(body)!!
+                batches.add(batch)
+                answer(batch)?.let { RelayCodec.encode(it) }
+            }
+        }
+        rig.run(1.secs)
+    }
+
+    /** The follower learns the token from the leader's beat. */
+    private fun lead(number: Long = token, wants: Boolean = true) {
+        val beat = Beat("n1", token = number, wantsRelays = wants)
+        rig.call("POST", "/beat", BeatCodec.encode(beat), Port.PEER)
+        rig.run(1.secs)
+    }
+
+    private fun bodies() = batches.flatMap { b -> b.reports.map { it.body.decodeToString() } }
+
+    @Test
+    fun `with a grant it answers under the leader's token and hands on what changed`() {
+        lead()
+        assertContains(machine.hello(0), "\"baton\":$token")
+        machine.hello(token)
+        rig.run(1.secs)
+        val whole = bodies().size
+        machine.hello(token)
+        rig.run(1.secs)
+        assertEquals(whole, bodies().size, "an unchanged report was handed on whole")
+        assertTrue(batches.any { it.signs.isNotEmpty() && it.signs[1] == 3L })
+        machine.hello(token, """{"piece":"job-000001/0","try":1,"status":"running"}""")
+        rig.run(1.secs)
+        assertContains(bodies().last(), "job-000001/0")
+    }
+
+    @Test
+    fun `it stops by itself when its grant is over, and tells whom to go to`() {
+        lead()
+        machine.hello(token)
+        answer = { null }
+        rig.run(4.secs)
+        assertEquals(200, machine.report(token)?.first)
+        rig.run(2.secs)
+        val late = machine.report(token)
+        assertEquals(421, late?.first)
+        assertContains(late!!.second, "n1")
+    }
+
+    @Test
+    fun `it answers nothing more under a token when a higher one was seen`() {
+        lead()
+        machine.hello(token)
+        ByHand(rig, "i-000002").report(token + 1)
+        answer = { null }
+        assertFalse(machine.report(token)?.first == 200)
+    }
+
+    @Test
+    fun `a new leader's token drops the old grant and all that was left for machines`() {
+        val halt = Mail("i-000001", 1, listOf(Order.halt("job-000001/0", 1, 0.0)))
+        answer = { grant(mail = listOf(halt)) }
+        lead()
+        machine.hello(token)
+        rig.run(1.secs)
+        answer = { null }
+        lead(token + 5)
+        val late = machine.report(token)
+        assertFalse(late?.first == 200, "answered under an old grant")
+    }
+
+    @Test
+    fun `what the leader left for a machine goes with the next answer, of the same session only`() {
+        val halt = Mail("i-000001", 1, listOf(Order.halt("job-000001/0", 1, 0.0)))
+        val other = Mail("i-000002", 2, listOf(Order.halt("job-000001/1", 1, 0.0)))
+        lead()
+        val second = ByHand(rig, "i-000002")
+        machine.hello(token)
+        second.hello(token)
+        answer = { grant(mail = listOf(halt, other)) }
+        rig.run(2.secs)
+        answer = { grant() }
+        rig.run(2.secs)
+        assertContains(machine.hello(token), "job-000001/0")
+        assertFalse("job-000001/1" in second.hello(token))
+    }
+
+    @Test
+    fun `what a lost batch said is said again, and a batch that leaves out something says so`() {
+        lead()
+        machine.hello(token)
+        rig.run(1.secs)
+        machine.hello(token)
+        answer = { null }
+        rig.run(1.secs)
+        batches.clear()
+        answer = { grant() }
+        rig.run(2.secs)
+        assertTrue(batches.any { b -> b.signs.isNotEmpty() }, "a sign of life was lost")
+        // An answer that the leader asks for by its number is sent whole once more.
+        val number = batches.first { it.signs.isNotEmpty() }.signs[0]
+        batches.clear()
+        answer = { grant(unknown = listOf(number)) }
+        rig.run(1.2.secs)
+        answer = { grant() }
+        rig.run(2.secs)
+        assertContains(bodies().joinToString(), "i-000001")
+    }
+
+    @Test
+    fun `where the leader takes all reports itself, workers are sent to it`() {
+        answer = { BatchAnswer(token, rig.now.value, wanted = false) }
+        lead(wants = false)
+        val sent = machine.report(0)
+        assertEquals(421, sent?.first)
+        assertContains(sent!!.second, "n1")
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/wardmux/relay/RelaysTest.kt
@@ -0,0 +1,195 @@
+package wardmux.relay
+
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import wardmux.Micros
+import wardmux.Outcome
+import wardmux.Port
+import wardmux.app.OperatorSettings
+import wardmux.peers.Beat
+import wardmux.peers.BeatCodec
+import wardmux.secs
+import wardmux.sim.ByHand
+import wardmux.sim.Rig
+import wardmux.sim.plainJob
+
+/** The leader's side: what batches prove, and what a grant leaves possible. */
+class RelaysTest {
+    private val rig = Rig(listOf("n1"), OperatorSettings(reportsPerCore = 0.0))
+    private val own = List(8) { ByHand(rig, "i-00001$it") }
+    private var token = 0L
+    private var echo = 0L
+    private var echoAt = 0L
+    private var number = 0L
+    private var tick = 0L
+
+    init {
+        rig.run(2.secs)
+        token = own.first().token()
+    }
+
+    private fun send(batch: Batch): BatchAnswer? {
+        val status = rig.call("POST", "/relay", RelayCodec.encode(batch), Port.PEER)?.first
+        if (status != 200) return null
+        return RelayCodec.answer(rig.bytesOf(rig.lastCall))
+    }
+
+    private fun batch(
+        reports: List<FullReport> = emptyList(),
+        signs: List<Long> = emptyList(),
+        echo: Long = this.echo,
+        boot: String = "b",
+    ): BatchAnswer? {
+        val since = rig.now.value - echoAt
+        val answer = send(Batch("n1", boot, token, echo, since, reports, signs))
+        if (answer != null) {
+            this.echo = answer.clock
+            echoAt = rig.now.value
+        }
+        return answer
+    }
+
+    private fun report(tasks: String = "", machine: String = "i-000001"): FullReport {
+        val body =
+            """{"box":"$machine","endpoint":"10.0.0.9:9","boxkind":"mid","ward":"a","loaners":""" +
+                """false,"shift":1,"tick":${++tick},"baton":$token,"pieces":[$tasks]}"""
+        return FullReport(++number, body.encodeToByteArray())
+    }
+
+    private fun ownReport() = own.forEach { it.report(token) }
+
+    private fun beat() = rig.call("POST", "/beat", BeatCodec.encode(Beat("n1")), Port.PEER)
+
+    private fun starts(task: String) = rig.direct.count { "\"start\"" in it && task in it }
+
+    @Test
+    fun `a machine that is heard through a relay gets work, directly and only so`() {
+        rig.accept(plainJob(1))
+        rig.directOutcome = Outcome.Unknown
+        val mail = ArrayList<Mail>()
+        mail += batch(listOf(report()))!!.mail
+        repeat(6) {
+            mail += batch(signs = listOf(number, ++tick))!!.mail
+            rig.run(1.secs)
+        }
+        assertEquals(1, starts("job-000001/0"))
+        // Unanswered, it may still be carried out: it goes no second way.
+        assertTrue(mail.flatMap { it.orders }.none { it.verb == "start" })
+    }
+
+    @Test
+    fun `what ended is forgotten once it is recorded, although the report stays the same`() {
+        rig.accept(plainJob(1))
+        batch(listOf(report()))
+        rig.run(1.secs)
+        val ended = """{"piece":"job-000001/0","try":1,"status":"ended","cause":"done"}"""
+        batch(listOf(report(ended)))
+        rig.run(2.secs)
+        val answer = batch(signs = listOf(number, ++tick))!!
+        assertEquals("forget", answer.mail.single().orders.single().verb)
+    }
+
+    @Test
+    fun `an unknown number is asked for, and a late copy proves nothing`() {
+        val first = report()
+        batch(listOf(first))
+        assertEquals(listOf(77L), batch(signs = listOf(77, 3))!!.unknown)
+        val running = """{"piece":"job-000001/0","try":1,"status":"running"}"""
+        batch(listOf(report(running)))
+        // A copy of the first comes late: it frees nothing and brings nothing back.
+        batch(listOf(first))
+        rig.run(1.secs)
+        assertEquals(null, send(Batch("n1", "b", token - 1, 0, 0)))
+        assertEquals(400, rig.call("POST", "/relay", ByteArray(9) { -1 }, Port.PEER)?.first)
+    }
+
+    private val many = List(6) { "i-00000${it + 1}" }
+
+    /** A task runs on one of several machines at the relay; so many that no one is given up. */
+    private fun oneRuns(): String {
+        val idle = many.map { report(machine = it) }
+        batch(idle)
+        rig.accept(plainJob(1))
+        rig.run(1.secs)
+        val machine = many.first { isOn(it) }
+        val running = """{"piece":"job-000001/0","try":1,"status":"running"}"""
+        batch(many.map { report(if (it == machine) running else "", it) })
+        return machine
+    }
+
+    private fun isOn(machine: String) = machine in rig.stored("t/job-000001/0").toString()
+
+    /** The machines are silent; the relay, if it [tells], has answered none. */
+    private fun pass(until: Micros, boot: String = "b", tells: Boolean) {
+        while (rig.now < until) {
+            if (tells) batch(boot = boot)
+            beat()
+            ownReport()
+            rig.run(0.5.secs)
+        }
+    }
+
+    @Test
+    fun `a lease that a relay may still renew is not over, and a restart of it changes nothing`() {
+        val machine = oneRuns()
+        val lastSign = rig.now
+        // The relay falls silent with a grant that runs on: it may have renewed since.
+        pass(lastSign + 17.secs, tells = false)
+        // A new process of the member tells nothing of what the former one answered.
+        echo = 0
+        pass(lastSign + 20.secs, boot = "c", tells = true)
+        assertTrue(isOn(machine), "the lease was taken for over while a grant may have run")
+        pass(lastSign + 26.secs, boot = "c", tells = true)
+        assertFalse(isOn(machine), "its lease never ends")
+    }
+
+    @Test
+    fun `a relay that has told all lets a lease end as if the leader had heard itself`() {
+        val machine = oneRuns()
+        val lastSign = rig.now
+        pass(lastSign + 16.secs, tells = true)
+        assertTrue(isOn(machine))
+        pass(lastSign + 20.secs, tells = true)
+        assertFalse(isOn(machine))
+    }
+
+    @Test
+    fun `a leader that hears its machines and reaches none of them lets another lead`() {
+        rig.directOutcome = Outcome.Unknown
+        batch(many.map { report(machine = it) })
+        rig.accept(plainJob(6).copy(cpus = 10.0))
+        repeat(5) {
+            beat()
+            rig.run(1.secs)
+        }
+        assertTrue(rig.stored("leader") != null, "given up for machines that may be dead")
+        batch(many.map { report(machine = it) })
+        rig.run(1.secs)
+        assertEquals(null, rig.stored("leader"))
+    }
+
+    @Test
+    fun `a batch that was held up gives an old sign of life`() {
+        batch(listOf(report()))
+        rig.run(1.secs)
+        val old = echo
+        // Sent now, and held up for long.
+        val late = Batch("n1", "b", token, old, 0, emptyList(), listOf(number, ++tick))
+        repeat(20) {
+            ownReport()
+            beat()
+            rig.run(0.5.secs)
+        }
+        send(late)
+        repeat(3) {
+            ownReport()
+            beat()
+            rig.run(0.5.secs)
+        }
+        val deletions = rig.cloud.filter { it.startsWith("/machines/delete") }
+        assertContains(deletions.joinToString(), "i-000001")
+    }
+}
--- a/src/test/kotlin/wardmux/sim/RandomDaysTest.kt
+++ b/src/test/kotlin/wardmux/sim/RandomDaysTest.kt
@@ -6,13 +6,18 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
 import wardmux.Micros
+import wardmux.app.OperatorSettings
 import wardmux.millis
 import wardmux.secs
 
 /** Seeded days with troubles of every kind, alone and together; the rules hold after each step. */
 class RandomDaysTest {
-    private class Day(seed: Long, private val grown: Boolean = false) {
-        val world = World(seed)
+    private class Day(
+        seed: Long,
+        private val grown: Boolean = false,
+        operators: OperatorSettings = OperatorSettings(),
+    ) {
+        val world = World(seed, operators = operators)
         private val clock = world.clock
         val jobs = ArrayList<String>()
 
@@ -202,6 +207,15 @@
         assertTrue(day.world.rules.starts > 0, "nothing ran")
     }
 
+    @ParameterizedTest
+    @MethodSource("relayedSeeds")
+    fun `nor where all controllers take reports`(seed: Long) {
+        val day = Day(seed, grown = true, OperatorSettings(reportsPerCore = 0.0))
+        day.play(troubled = true)
+        assertEquals(emptyList(), day.world.problems())
+        assertTrue(day.world.rules.starts > 0, "nothing ran")
+    }
+
     @Test
     fun `on a quiet day every job comes to its end`() {
         val day = Day(100)
@@ -218,6 +232,9 @@
         /** Likewise: `-Dwardmux.grown=100-500`. */
         @JvmStatic fun grownSeeds(): List<Long> = days("wardmux.grown", "1-24")
 
+        /** Likewise: `-Dwardmux.relayed=100-500`. */
+        @JvmStatic fun relayedSeeds(): List<Long> = days("wardmux.relayed", "1-24")
+
         private fun days(property: String, usual: String): List<Long> {
             val range = (System.getProperty(property) ?: usual).split('-')
             return (range.first().toLong()..range.last().toLong()).toList()
--- a/src/test/kotlin/wardmux/sim/Rig.kt
+++ b/src/test/kotlin/wardmux/sim/Rig.kt
@@ -32,13 +32,14 @@
 import wardmux.millis
 
 /** One controller whose state service answers at once, for situations set up by hand. */
-class Rig(siblings: List<String> = emptyList()) {
+class Rig(siblings: List<String> = emptyList(), operators: OperatorSettings = OperatorSettings()) {
     private val settings =
         SETTINGS.copy(siblings = siblings.map { SiblingSettings(it, address = "10.0.0.2:81") })
     private val clock = Clockwork(1)
     private val state = StateStandIn(clock, settings.facts.state)
-    private val core = Controller(settings, OperatorSettings(), "rig")
+    private val core = Controller(settings, operators, "rig")
     private val answers = HashMap<Long, Pair<Int, String>>()
+    private val bytes = HashMap<Long, ByteArray>()
     private var calls = 0L
 
     /** Direct orders, as they were sent to workers. */
@@ -47,6 +48,9 @@
     /** What becomes of direct orders: as a rule they get no connection. */
     var directOutcome: Outcome = Outcome.Unsent
 
+    /** What a sibling answers to the bytes it is sent on a path: as a rule it gets none. */
+    var sibling: (path: String, body: ByteArray) -> ByteArray? = { _, _ -> null }
+
     /** Requests to the cloud, which nobody answers. */
     val cloud = ArrayList<String>()
 
@@ -114,6 +118,12 @@
     val lastCall: Long
         get() = calls
 
+    fun bytesOf(id: Long): ByteArray = bytes.getValue(id)
+
+    /** This controller's steady clock. */
+    val now: Micros
+        get() = clock.now
+
     /** The status and body of a call that was answered later. */
     fun answerTo(id: Long): Pair<Int, String>? = answers[id]
 
@@ -136,8 +146,10 @@
     private fun feed(input: Input) {
         for (effect in core.handle(clock.now, clock.now, input)) {
             when (effect) {
-                is Effect.Answer ->
+                is Effect.Answer -> {
                     answers[effect.id] = effect.status to effect.body.decodeToString()
+                    bytes[effect.id] = effect.body
+                }
                 is Effect.Send -> send(effect)
             }
         }
@@ -153,6 +165,11 @@
                 if (effect.path == "/do") direct.add(body)
                 feed(Input.Reply(effect.id, directOutcome))
             }
+            effect.target is Target.Sibling -> {
+                val answer = sibling(effect.path, effect.body)
+                val outcome = if (answer == null) Outcome.Unsent else Outcome.Response(200, answer)
+                feed(Input.Reply(effect.id, outcome))
+            }
             effect.target !is Target.State -> {
                 if (effect.target is Target.Cloud) cloud.add("${effect.path} $body")
                 feed(Input.Reply(effect.id, Outcome.Unsent))
