A leader that hears no machine gives up none; a start that is loose is never lost sight of

Where none of at least four machines is heard for one and a half reports it now gives up none, and its lease.

The start that went unanswered is still known as loose, and tells that the machine is deaf.

--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -408,6 +408,7 @@
                     if (machine.shift == shift && starts.isNotEmpty()) {
                         log.info("{} starts went unanswered by {}", starts.size, machine.id)
                         machine.directBroken = true
+                        if (machine.brokenSince == null) machine.brokenSince = desk.now
                     }
             }
         }
--- a/src/main/kotlin/wardmux/fleet/FleetHealth.kt
+++ b/src/main/kotlin/wardmux/fleet/FleetHealth.kt
@@ -58,6 +58,8 @@
             else if (machine.directBroken && machine.empty) condemn(machine, "orders unanswered")
             else if (isDeaf(machine)) deaf.add(machine)
         }
+        // Then it is this controller that is cut off, and no machine is given up for it.
+        if (nobodyHeard(up)) return
         // Many at once: more likely the network than the machines. Their leases decide.
         val many = maxOf(FEW, up.size / MANY_PART)
         for (machine in silent) {
@@ -93,13 +95,15 @@
 
     /**
      * Its reports arrive, but go on lacking a start that was sent long ago. The start may still be
-     * under way, so only the machine's deletion frees the task, its room and its cap.
+     * under way, so only the machine's deletion frees the task, its room and its cap. That it was
+     * sent is not known any more if what is stored was read again since; what is loose tells it.
      */
     private fun isDeaf(machine: Machine): Boolean {
         val heardAt = machine.heardAt ?: return false
         val patience = maxOf((workers.reportS * UNSHOWN_REPORTS).secs, UNSHOWN_LEAST)
         return machine.placements.values.any {
-            val startedAt = it.startedAt
+            val loose = it.name to it.attempt in machine.loose
+            val startedAt = it.startedAt ?: if (loose) machine.brokenSince else null
             it.status == null && startedAt != null && heardAt - startedAt > patience
         }
     }
@@ -135,8 +139,16 @@
         }
     }
 
+    /** So many machines do not fall silent within one report of each other. */
+    private fun nobodyHeard(up: List<Machine>): Boolean {
+        if (up.size < ENOUGH) return false
+        val last = up.maxOf { it.heardAt ?: Micros.LONG_AGO }
+        return desk.now - last > maxOf(askAfter, NOBODY_LEAST)
+    }
+
     /** Most of the machines that were heard fell silent: perhaps they hear other controllers. */
     fun isLeftAlone(): Boolean {
+        if (nobodyHeard(cluster.machines.values.filter { it.up && !it.condemned })) return true
         val quiet = (workers.reportS * operators.quietReports).secs
         var up = 0
         var silent = 0
@@ -165,6 +177,7 @@
         val PROBE_TIME = 3.secs
         val PROBE_PAUSE = 5.secs
         const val ENOUGH = 4
+        val NOBODY_LEAST = 6.secs
         /** What a worker waits for an answer, and until it tries the next controller. */
         val REPORT_TIME = 5.secs
         const val MANY_PART = 3
--- a/src/main/kotlin/wardmux/fleet/Machine.kt
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -38,6 +38,13 @@
 
     /** Direct orders went unanswered in this session, so they may be carried out at any time. */
     var directBroken = false
+        set(value) {
+            if (!value) brokenSince = null
+            field = value
+        }
+
+    /** Since when that is so. */
+    var brokenSince: Micros? = null
 
     /** Its report is overdue, and asked for its state it did not answer; when it is asked next. */
     var probeFailed = false
--- a/src/main/kotlin/wardmux/lead/Term.kt
+++ b/src/main/kotlin/wardmux/lead/Term.kt
@@ -193,10 +193,13 @@
     }
 
     private val uninformedFor =
-        facts.workers.cancelS.secs -
-            facts.workers.leaseS.secs * (1 + Leadership.DRIFT) -
-            relays.grant -
-            UNINFORMED_MARGIN
+        maxOf(
+            facts.workers.cancelS.secs -
+                facts.workers.leaseS.secs * (1 + Leadership.DRIFT) -
+                relays.grant -
+                UNINFORMED_MARGIN,
+            UNINFORMED_LEAST,
+        )
 
     fun tick() {
         if (loaded && leadership.sure) informedAt = desk.now
@@ -488,5 +491,8 @@
 
         /** How far what the watch tells may be behind, and a halt's way to its machine. */
         val UNINFORMED_MARGIN = 1500.millis
+
+        /** A leader that knows all learns that it does a few times a second. */
+        val UNINFORMED_LEAST = 1.secs
     }
 }
--- a/src/test/kotlin/wardmux/fleet/FleetTest.kt
+++ b/src/test/kotlin/wardmux/fleet/FleetTest.kt
@@ -47,6 +47,26 @@
         assertEquals(1, startsOf("job-000002/0"))
     }
 
+    @Test
+    fun `nor is it kept for ever if what is stored is read again meanwhile`() {
+        rig.run(2.secs)
+        val token = first.token()
+        first.hello(token)
+        rig.directOutcome = Outcome.Unknown
+        rig.accept(plainJob(1))
+        rig.run(1.secs)
+        assertEquals(1, startsOf("job-000001/0"))
+        // Somebody else's write: the leader no longer knows what is stored.
+        rig.write("tags", rig.stored("tags")!!)
+        rig.accept(plainJob(1, "job-000002"))
+        repeat(20) {
+            first.report(token)
+            second.report(token)
+            rig.run(1.secs)
+        }
+        assertTrue(deletions("i-000001") > 0, "kept, though orders do not reach it")
+    }
+
     @Test
     fun `a copy of an old report is no sign of life and brings no machine back`() {
         rig.run(2.secs)
--- a/src/test/kotlin/wardmux/lead/LoneLeaderTest.kt
+++ b/src/test/kotlin/wardmux/lead/LoneLeaderTest.kt
@@ -67,6 +67,25 @@
         assertEquals(null, rig.stored("leader"))
     }
 
+    @Test
+    fun `a leader that hears no machine at all gives up none of them, and its lease soon`() {
+        val rig = Rig(siblings = listOf("n1"))
+        rig.run(2.secs)
+        val machines = List(11) { ByHand(rig, "i-0000$it") }
+        val token = machines.first().token()
+        val beat = BeatCodec.encode(Beat("n1"))
+        repeat(5) {
+            for (machine in machines) machine.report(token)
+            rig.run(1.secs)
+        }
+        repeat(7) {
+            rig.call("POST", "/beat", beat, Port.PEER)
+            rig.run(1.secs)
+        }
+        assertEquals(null, rig.stored("leader"))
+        assertTrue(rig.cloud.none { "delete" in it }, "machines are given up for its own cut")
+    }
+
     @Test
     fun `a former process's lease is never taken for the own, nor is a stranger's beat heard`() {
         rig.writeLeased("leader", Json.parseToJsonElement("""{"member":"n0","boot":"former"}"""))
--- a/src/test/kotlin/wardmux/sim/RandomDaysTest.kt
+++ b/src/test/kotlin/wardmux/sim/RandomDaysTest.kt
@@ -233,7 +233,7 @@
         @JvmStatic fun grownSeeds(): List<Long> = days("wardmux.grown", "1-24")
 
         /** Likewise: `-Dwardmux.relayed=100-500`. */
-        @JvmStatic fun relayedSeeds(): List<Long> = days("wardmux.relayed", "1-24")
+        @JvmStatic fun relayedSeeds(): List<Long> = days("wardmux.relayed", "1-24") + FOUND_RELAYED
 
         private fun days(property: String, usual: String): List<Long> {
             val range = (System.getProperty(property) ?: usual).split('-')
@@ -248,5 +248,11 @@
          * (854).
          */
         private val FOUND = listOf(113L, 114L, 184L, 242L, 321L, 854L)
+
+        /**
+         * A machine that orders did not reach was kept for ever, and with it the jobs that only its
+         * kind may run, as the leader had read again what is stored (200).
+         */
+        private val FOUND_RELAYED = listOf(200L)
     }
 }
