Large machines are left to large jobs that wait too long; an oversized body is malformed

While a job that fits no smaller type has not begun for `longest_wait_s`, nothing else goes to that type, nor stops work there.

A body over 64 KiB gets 400, as malformed, and is not sent again.

--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -49,6 +49,7 @@
             if (cluster.jobs.values.all { it.placements.isEmpty() }) cluster.queue.idle()
             return
         }
+        held = ready.filter { isOverdue(it) }.mapNotNullTo(HashSet()) { exactFor(it.spec) }
         val round = Round(cluster.machines.values.filter { usable(it) }, admission)
         val scarce = cluster.jobs.values.any { isShortOfRoom(it) }
         val queues =
@@ -102,6 +103,7 @@
             looks += round.open.size
             return round.open.filter { machine ->
                 (!exact || machine.type.label == exactType) &&
+                    !isHeldFrom(spec, machine.type) &&
                     allowed(spec, machine) &&
                     machine.fits(spec) &&
                     (machine.id !in job.failedOn || round.usable <= job.failedOn.size)
@@ -165,6 +167,19 @@
         }
     }
 
+    /**
+     * Machine types that are held for jobs which wait too long and fit no smaller one. Smaller
+     * tasks would go on taking what room comes free there, and never leave enough of it at once.
+     */
+    private var held: Set<String> = emptySet()
+
+    private fun isOverdue(job: Job) =
+        !job.begun && !job.atFault && desk.wall - job.acceptedAt > operators.longestWaitS.secs
+
+    /** True if machines of this type are held, and for other work than this. */
+    fun isHeldFrom(spec: JobSpec, type: MachineType) =
+        held.isNotEmpty() && type.label in held && exactFor(spec) != type.label
+
     private fun isShortOfRoom(job: Job): Boolean {
         val since = job.blockedSince ?: return false
         return desk.now - since > SCARCE_AFTER && cluster.headroom(job.spec) > 0
--- a/src/main/kotlin/wardmux/dispatch/Preemption.kt
+++ b/src/main/kotlin/wardmux/dispatch/Preemption.kt
@@ -113,6 +113,7 @@
             if (victim.halting || !among(victim) || !mayStop(job, victim)) continue
             val machine = cluster.machines[victim.machine] ?: continue
             if (!planner.allowed(job.spec, machine) || !machine.type.holds(job.spec)) continue
+            if (planner.isHeldFrom(job.spec, machine.type)) continue
             if (fetchesAlone(victim)) continue
             // Nearly done: its room comes by itself.
             if (remaining(victim) < SOON) continue
--- a/src/main/kotlin/wardmux/http/HttpServer.kt
+++ b/src/main/kotlin/wardmux/http/HttpServer.kt
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpServerCodec
@@ -73,7 +74,7 @@
                             .pipeline()
                             .addLast(ReadTimeoutHandler(idleSeconds, TimeUnit.SECONDS))
                             .addLast(HttpServerCodec(4096, 8192, 8192))
-                            .addLast(HttpObjectAggregator(maxBody(port)))
+                            .addLast(Bodies(maxBody(port)))
                             .addLast(Connection(port))
                     }
                 }
@@ -116,6 +117,12 @@
         if (!keepAlive) sent.addListener(ChannelFutureListener.CLOSE)
     }
 
+    /** A body over the limit is malformed, like any other that PROTOCOL does not allow. */
+    private inner class Bodies(limit: Int) : HttpObjectAggregator(limit) {
+        override fun handleOversizedMessage(context: ChannelHandlerContext, head: HttpMessage) =
+            respond(context.channel(), false, 400, ByteArray(0), null)
+    }
+
     private inner class Connection(private val port: Port) : ChannelInboundHandlerAdapter() {
         private var current = 0L
         private var worker = false
--- a/src/test/kotlin/wardmux/dispatch/PlannerScaleTest.kt
+++ b/src/test/kotlin/wardmux/dispatch/PlannerScaleTest.kt
@@ -62,6 +62,38 @@
         return Plan(planner.looks, placed)
     }
 
+    @Test
+    fun `large machines are left to a large job that waits too long, and only to such`() {
+        val desk = Desk()
+        desk.at(200.secs, 200.secs)
+        val large = type.copy(label = "large", cpus = 64.0, memoryGb = 256.0)
+        val queue = FairQueue(teams.associate { it.name to it.cpus }, 600.secs, 600.0)
+        val cluster = Cluster(desk, teams, queue)
+        val facts = WorkerFacts(reportS = 6.0, leaseS = 36.0, cancelS = 66.0)
+        val planner =
+            Planner(desk, cluster, OperatorSettings(), facts, emptyList()) { listOf(type, large) }
+        val machine = Machine(MachineId("i-000001"), large, "a", spot = true)
+        machine.confirmed = true
+        machine.heardAt = desk.now
+        cluster.add(machine)
+        // Room for one small task is there, and not for the large one.
+        val full = Job(plainJob(1, "job-999999").copy(cpus = 40.0), Stamp(1), Micros.ZERO, 128)
+        val place = wardmux.TaskId(full.id, 0)
+        val charge = Charge(Cost(1), 1.0)
+        machine.add(wardmux.fleet.Placement(full, place, 1, machine.id, 1, "a", charge))
+        fun job(id: Int, cpus: Double, acceptedAt: Micros): Job {
+            val spec = plainJob(1, "job-%06d".format(id)).copy(cpus = cpus)
+            return Job(spec, Stamp(1), acceptedAt, 128).also { cluster.jobs[it.id] = it }
+        }
+        val waits = job(1, 32.0, 10.secs)
+        val small = job(2, 2.0, 190.secs)
+        planner.plan(Admission(7))
+        assertEquals(0, small.placements.size, "it took what the large one waits for")
+        cluster.jobs.remove(waits.id)
+        planner.plan(Admission(7))
+        assertEquals(1, small.placements.size)
+    }
+
     @Test
     fun `without room, what waits costs no look at any machine`() {
         val plan = plan(machines = 1500, open = 0, jobs = 300, tasks = 300, pages = 7)
