--- a/src/test/kotlin/wardmux/sim/Rig.kt
+++ b/src/test/kotlin/wardmux/sim/Rig.kt
@@ -32,16 +32,9 @@
 import wardmux.millis
 
 /** One controller whose state service answers at once, for situations set up by hand. */
-class Rig(
-    siblings: List<String> = emptyList(),
-    operators: OperatorSettings = OperatorSettings(),
-    facts: Facts = SETTINGS.facts,
-) {
+class Rig(siblings: List<String> = emptyList(), operators: OperatorSettings = OperatorSettings()) {
     private val settings =
-        SETTINGS.copy(
-            siblings = siblings.map { SiblingSettings(it, address = "10.0.0.2:81") },
-            facts = facts,
-        )
+        SETTINGS.copy(siblings = siblings.map { SiblingSettings(it, address = "10.0.0.2:81") })
     private val clock = Clockwork(1)
     private val state = StateStandIn(clock, settings.facts.state)
     private val core = Controller(settings, operators, "rig")
@@ -55,10 +48,6 @@
     /** What becomes of direct orders: as a rule they get no connection. */
     var directOutcome: Outcome = Outcome.Unsent
 
-    /** The same by the machine's address and what it is sent. */
-    var onDirect: ((address: String, body: String) -> Outcome)? = null
-    var coreNanos = 0L
-
     /** What a sibling answers to the bytes it is sent on a path: as a rule it gets none. */
     var sibling: (path: String, body: ByteArray) -> ByteArray? = { _, _ -> null }
 
@@ -155,10 +144,7 @@
     fun stored(key: String): JsonElement? = state.value(key)
 
     private fun feed(input: Input) {
-        val t0 = System.nanoTime()
-        val effects = core.handle(clock.now, clock.now, input)
-        coreNanos += System.nanoTime() - t0
-        for (effect in effects) {
+        for (effect in core.handle(clock.now, clock.now, input)) {
             when (effect) {
                 is Effect.Answer -> {
                     answers[effect.id] = effect.status to effect.body.decodeToString()
@@ -177,9 +163,7 @@
         when {
             effect.target is Target.Worker -> {
                 if (effect.path == "/do") direct.add(body)
-                val target = effect.target as Target.Worker
-                val outcome = onDirect?.invoke(target.address, body) ?: directOutcome
-                feed(Input.Reply(effect.id, outcome))
+                feed(Input.Reply(effect.id, directOutcome))
             }
             effect.target is Target.Sibling -> {
                 val answer = sibling(effect.path, effect.body)
