--- a/src/test/kotlin/wardmux/sim/RandomDaysTest.kt
+++ b/src/test/kotlin/wardmux/sim/RandomDaysTest.kt
@@ -15,6 +15,7 @@
     private class Day(
         seed: Long,
         private val grown: Boolean = false,
+        private val fleet: Boolean = false,
         operators: OperatorSettings = OperatorSettings(),
     ) {
         val world = World(seed, operators = operators)
@@ -112,6 +113,24 @@
                 { slow(someNode(), 500.millis) },
             )
 
+        /** Those that came with the fleets. */
+        private val fleetTroubles: List<() -> Unit> =
+            listOf(
+                { world.freeze(someNode(), clock.between(1.secs, 30.secs)) },
+                { world.leader()?.let { world.freeze(it, clock.between(1.secs, 30.secs)) } },
+                {
+                    // A zone cut off with a controller in it.
+                    val length = clock.between(5.secs, 47.secs)
+                    val inside = world.cloud.workers().filter { it.zone == "a" }.map { it.id }
+                    for (host in inside + world.nodes.first()) {
+                        for (other in world.nodes.drop(1) + "state" + "cloud" + "user") {
+                            part(host, other, length)
+                            part(other, host, length)
+                        }
+                    }
+                },
+            )
+
         private fun part(from: String, to: String, length: Micros) {
             world.network.part(from, to)
             clock.after(length) { world.network.join(from, to) }
@@ -184,7 +203,12 @@
         }
 
         private fun trouble() {
-            val all = if (grown) troubles + newTroubles + newTroubles else troubles
+            val all =
+                when {
+                    fleet -> troubles + newTroubles + fleetTroubles + fleetTroubles + fleetTroubles
+                    grown -> troubles + newTroubles + newTroubles
+                    else -> troubles
+                }
             all[clock.random.nextInt(all.size)]()
         }
     }
@@ -210,7 +234,17 @@
     @ParameterizedTest
     @MethodSource("relayedSeeds")
     fun `nor where all controllers take reports`(seed: Long) {
-        val day = Day(seed, grown = true, OperatorSettings(reportsPerCore = 0.0))
+        val day = Day(seed, grown = true, operators = OperatorSettings(reportsPerCore = 0.0))
+        day.play(troubled = true)
+        assertEquals(emptyList(), day.world.problems())
+        assertTrue(day.world.rules.starts > 0, "nothing ran")
+    }
+
+    @ParameterizedTest
+    @MethodSource("frozenSeeds")
+    fun `nor with frozen controllers and cut zones besides`(seed: Long) {
+        val relays = OperatorSettings(reportsPerCore = 0.0)
+        val day = Day(seed, grown = true, fleet = true, operators = relays)
         day.play(troubled = true)
         assertEquals(emptyList(), day.world.problems())
         assertTrue(day.world.rules.starts > 0, "nothing ran")
@@ -235,6 +269,9 @@
         /** Likewise: `-Dwardmux.relayed=100-500`. */
         @JvmStatic fun relayedSeeds(): List<Long> = days("wardmux.relayed", "1-24") + FOUND_RELAYED
 
+        /** Likewise: `-Dwardmux.frozen=100-500`. */
+        @JvmStatic fun frozenSeeds(): List<Long> = days("wardmux.frozen", "1-24")
+
         private fun days(property: String, usual: String): List<Long> {
             val range = (System.getProperty(property) ?: usual).split('-')
             return (range.first().toLong()..range.last().toLong()).toList()
--- a/src/test/kotlin/wardmux/sim/World.kt
+++ b/src/test/kotlin/wardmux/sim/World.kt
@@ -70,10 +70,35 @@
         val core = Controller(settings(member), operators, "${++boots}")
         var alive = true
 
+        /**
+         * Stands still while its clocks run on: what comes, and what was about to go out, waits.
+         */
+        private var frozen = false
+        private val waiting = ArrayList<() -> Unit>()
+
+        fun freeze(length: Micros) {
+            if (frozen) return
+            // Once more it decides, and stands still before anything of that goes out.
+            val effects = handle(Input.Tick)
+            frozen = true
+            clock.after(length) {
+                frozen = false
+                for (effect in effects) perform(effect)
+                val all = waiting.toList()
+                waiting.clear()
+                for (one in all) one()
+            }
+        }
+
+        private fun handle(input: Input): List<Effect> {
+            val now = Micros((clock.now.value * drift).toLong())
+            return core.handle(now, clock.now + offset, input)
+        }
+
         fun feed(input: Input) {
             if (!alive) return
-            val now = Micros((clock.now.value * drift).toLong())
-            for (effect in core.handle(now, clock.now + offset, input)) perform(effect)
+            if (frozen) waiting.add { feed(input) }
+            else for (effect in handle(input)) perform(effect)
         }
 
         private fun perform(effect: Effect) {
@@ -217,6 +242,10 @@
         clock.after(100.millis) { tick(process) }
     }
 
+    fun freeze(member: String, length: Micros) {
+        running[member]?.takeIf { it.alive }?.freeze(length)
+    }
+
     fun crash(member: String, back: Micros) {
         val process = running[member] ?: return
         process.alive = false
