--- a/src/test/kotlin/wardmux/relay/RelaysTest.kt
+++ b/src/test/kotlin/wardmux/relay/RelaysTest.kt
@@ -184,6 +184,34 @@
         assertTrue(answer.grant > 0)
     }
 
+    /** Requests of 5 s in which each of the machines at the relay gives a sign of life a second. */
+    private fun requestsWith(machines: Int): Int {
+        val numbers = ArrayList<Long>()
+        repeat(machines) {
+            batch(listOf(report(machine = "i-%06d".format(1_000 + it))))
+            numbers.add(number)
+        }
+        rig.run(1.secs)
+        rig.stateCalls.clear()
+        rig.direct.clear()
+        repeat(5) {
+            val answer = batch(signs = numbers.flatMap { n -> listOf(n, ++tick) })!!
+            assertTrue(answer.unknown.isEmpty() && answer.mail.isEmpty())
+            ownReport()
+            beat()
+            rig.run(1.secs)
+        }
+        assertEquals(emptyList(), rig.direct)
+        return rig.stateCalls.size
+    }
+
+    @Test
+    fun `what says nothing new costs the state service nothing, however many say it`() {
+        val few = requestsWith(20)
+        val many = requestsWith(2_000)
+        assertTrue(many <= few + 2, "$few requests with 20 machines, $many with 2,000")
+    }
+
     @Test
     fun `a batch that was held up gives an old sign of life`() {
         batch(listOf(report()))
