--- a/src/main/kotlin/wardmux/app/Controller.kt
+++ b/src/main/kotlin/wardmux/app/Controller.kt
@@ -25,7 +25,6 @@
 import wardmux.relay.RelayCodec
 import wardmux.secs
 import wardmux.store.StateStore
-import wardmux.store.lenientJson
 
 /**
  * One controller as a state machine: takes inputs with their time, returns what to send and answer.
@@ -179,7 +178,7 @@
 
     private fun sendToLeader(call: Long) {
         val leader = leadership.leaderToName ?: return desk.answer(call, 421)
-        desk.answer(call, 421, lenientJson.encodeToString(Redirect.serializer(), Redirect(leader)))
+        desk.answerBytes(call, 421, Redirect(leader).encode())
     }
 
     private fun peerCall(call: Input.Call, path: String) {
--- a/src/main/kotlin/wardmux/dispatch/Ledger.kt
+++ b/src/main/kotlin/wardmux/dispatch/Ledger.kt
@@ -198,7 +198,8 @@
     private fun addLeftOver(draft: Draft) {
         for (job in cluster.jobs.values) {
             if (!job.over || job.placements.isNotEmpty()) continue
-            for (page in job.storedPages()) {
+            val pages = job.storedPages()
+            for (page in pages) {
                 // Nobody waits for it, so it never takes what a start or an end needs.
                 if (!draft.room(1, 1) || draft.changes.size >= store.writesToSpare) return
                 val key = Job.pageKey(job.id, page)
@@ -206,7 +207,7 @@
                 draft.changes.add(Change(remove = key))
                 draft.pages.add(WrittenPage(job, page, BitSet(), emptyList(), removed = true))
             }
-            if (job.finished || job.unlisted || job.storedPages().isNotEmpty()) continue
+            if (job.finished || job.unlisted || pages.isNotEmpty()) continue
             if (!draft.room(1, 0) || draft.changes.size >= store.writesToSpare) return
             draft.changes.add(Change(remove = JobRecord.cancelledKey(job.id)))
             draft.unlisting.add(job)
--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -99,11 +99,11 @@
 
         private fun candidates(job: Job): List<Machine> {
             val spec = job.spec
-            val exactType = if (exact) exactFor(spec) else null
+            val own = exactFor(spec)
             looks += round.open.size
             return round.open.filter { machine ->
-                (!exact || machine.type.label == exactType) &&
-                    !isHeldFrom(spec, machine.type) &&
+                val label = machine.type.label
+                (label == own || (!exact && label !in held)) &&
                     allowed(spec, machine) &&
                     machine.fits(spec) &&
                     (machine.id !in job.failedOn || round.usable <= job.failedOn.size)
@@ -178,7 +178,7 @@
 
     /** True if machines of this type are held, and for other work than this. */
     fun isHeldFrom(spec: JobSpec, type: MachineType) =
-        held.isNotEmpty() && type.label in held && exactFor(spec) != type.label
+        type.label in held && exactFor(spec) != type.label
 
     private fun isShortOfRoom(job: Job): Boolean {
         val since = job.blockedSince ?: return false
--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -1,6 +1,5 @@
 package wardmux.fleet
 
-import kotlinx.serialization.SerializationException
 import wardmux.Desk
 import wardmux.MachineId
 import wardmux.Micros
@@ -61,9 +60,10 @@
         if (!mayAnswer(machine, report)) return desk.answer(call, 503)
         if (sendOn(machine)) return desk.answer(call, 421)
         sendAway()?.let {
-            return desk.answer(call, 421, lenientJson.encodeToString(redirect, Redirect(it)))
+            return desk.answerBytes(call, 421, Redirect(it).encode())
         }
-        if (!mayRenew()) return desk.answerBytes(call, 200, NOT_RENEWED)
+        if (!mayRenew()) return desk.answerBytes(call, 200, HelloAnswer.DROPPED)
+        machine.renewedAt = desk.now
         answer(call, hear(machine, report, null, desk.now))
     }
 
@@ -75,7 +75,7 @@
     fun relayed(report: Report, relay: String, sentAt: Micros): List<Order>? {
         if (MachineId(report.machine) in gone) return null
         val machine = reporting(report) ?: return emptyList()
-        // It was answered all the same, so its lease may run from here.
+        // It was answered in any case, so its lease may run from here.
         machine.renewedAt = desk.now
         if (!mayAnswer(machine, report)) return null
         return hear(machine, report, relay, sentAt)
@@ -98,14 +98,13 @@
         return !machine.condemned
     }
 
+    /** Of a report that is answered: that may renew the lease, also if it is no sign of life. */
     private fun hear(
         machine: Machine,
         report: Report,
         relay: String?,
         heardAt: Micros,
     ): List<Order> {
-        // Any report that is answered may renew the lease, also one that is no sign of life.
-        machine.renewedAt = desk.now
         // Late, a copy, or overtaken by a direct order's answer: it shows nothing.
         if (!isNewer(machine, report)) return emptyList()
         note(machine, report, heardAt)
@@ -122,13 +121,15 @@
      * say who leads. In a mere outage they say that this one does, and it comes back.
      */
     private fun sendOn(machine: Machine): Boolean {
-        val unsure = unsureSince() ?: return false
-        if (desk.now - unsure < SEND_ON_AFTER) return false
-        if (desk.now - machine.sentOnAt < workers.leaseS.secs * SEND_ON_PART) return false
+        if (!sendsOn || desk.now - machine.sentOnAt < sendOnPause(workers)) return false
         machine.sentOnAt = desk.now
         return true
     }
 
+    /** True while workers are sent on, by this leader and by its relays. */
+    val sendsOn: Boolean
+        get() = unsureSince()?.let { desk.now - it >= SEND_ON_AFTER } == true
+
     private fun isNewer(machine: Machine, report: Report) =
         report.shift > machine.shift ||
             (report.shift == machine.shift && report.tick > machine.tick)
@@ -142,7 +143,7 @@
             // Direct orders name the session, so those of an earlier one are refused.
             machine.loose.clear()
             machine.endedSince.clear()
-            machine.directBroken = false
+            machine.brokenSince = null
         }
         machine.endpoint = report.endpoint
         machine.shift = report.shift
@@ -407,7 +408,6 @@
                 is Outcome.Unknown ->
                     if (machine.shift == shift && starts.isNotEmpty()) {
                         log.info("{} starts went unanswered by {}", starts.size, machine.id)
-                        machine.directBroken = true
                         if (machine.brokenSince == null) machine.brokenSince = desk.now
                     }
             }
@@ -432,14 +432,7 @@
     }
 
     private fun takeDirect(machine: Machine, response: Outcome.Response) {
-        val report =
-            try {
-                lenientJson.decodeFromString(Report.serializer(), response.text)
-            } catch (e: SerializationException) {
-                return
-            } catch (e: IllegalArgumentException) {
-                return
-            }
+        val report = Report.parse(response.body) ?: return
         seen(Token(report.token))
         if (cluster.machines[machine.id] !== machine) return
         if (MachineId(report.machine) != machine.id || !isNewer(machine, report)) return
@@ -456,10 +449,8 @@
         return job.over || job.isRecorded(task.index)
     }
 
-    private fun answer(call: Long, orders: List<Order>) {
-        val body = HelloAnswer(token.value, orders)
-        desk.answer(call, 200, lenientJson.encodeToString(HelloAnswer.serializer(), body))
-    }
+    private fun answer(call: Long, orders: List<Order>) =
+        desk.answerBytes(call, 200, HelloAnswer(token.value, orders).encode())
 
     /**
      * A copy of a direct start may come late, and would start a forgotten attempt again: beside the
@@ -475,12 +466,6 @@
     private var directOpen = 0
 
     companion object {
-        /** Under no leader's token: the worker drops it, and stays with this controller. */
-        val NOT_RENEWED =
-            lenientJson
-                .encodeToString(HelloAnswer.serializer(), HelloAnswer(0, emptyList()))
-                .encodeToByteArray()
-        private val redirect = Redirect.serializer()
         private val DIRECT_TIME = 4.secs
         private const val ENOUGH_UNREACHED = 6
         private val UNREACHED_FOR = 3.secs
@@ -493,7 +478,10 @@
         /** Each takes a connection of its own. */
         private const val MOST_DIRECT_OPEN = 96
         private const val KEPT_LEASES = 10.0
-        val SEND_ON_AFTER = 2.secs
+        private val SEND_ON_AFTER = 2.secs
         private const val SEND_ON_PART = 0.5
+
+        /** How long one worker is left alone after it was sent on. */
+        fun sendOnPause(workers: WorkerFacts) = workers.leaseS.secs * SEND_ON_PART
     }
 }
--- a/src/main/kotlin/wardmux/fleet/FleetHealth.kt
+++ b/src/main/kotlin/wardmux/fleet/FleetHealth.kt
@@ -38,7 +38,7 @@
     fun watch() {
         if (desk.now < watchAt) return
         watchAt = desk.now + WATCH_PERIOD
-        val up = cluster.machines.values.filter { it.up && !it.condemned }
+        val up = up()
         val silent = ArrayList<Machine>()
         val unreachable = ArrayList<Machine>()
         val deaf = ArrayList<Machine>()
@@ -102,12 +102,17 @@
         val heardAt = machine.heardAt ?: return false
         val patience = maxOf((workers.reportS * UNSHOWN_REPORTS).secs, UNSHOWN_LEAST)
         return machine.placements.values.any {
-            val loose = it.name to it.attempt in machine.loose
-            val startedAt = it.startedAt ?: if (loose) machine.brokenSince else null
-            it.status == null && startedAt != null && heardAt - startedAt > patience
+            if (it.status != null) return@any false
+            val startedAt = it.startedAt ?: machine.brokenSince.takeIf { _ -> isLoose(machine, it) }
+            startedAt != null && heardAt - startedAt > patience
         }
     }
 
+    private fun isLoose(machine: Machine, placement: Placement) =
+        placement.name to placement.attempt in machine.loose
+
+    private fun up() = cluster.machines.values.filter { it.up && !it.condemned }
+
     /**
      * A machine with placements that never reported under this leader's token: an earlier leader
      * may keep its lease alive, so only its deletion proves anything. One of which no more is known
@@ -148,17 +153,11 @@
 
     /** Most of the machines that were heard fell silent: perhaps they hear other controllers. */
     fun isLeftAlone(): Boolean {
-        if (nobodyHeard(cluster.machines.values.filter { it.up && !it.condemned })) return true
+        val up = up()
+        if (nobodyHeard(up)) return true
         val quiet = (workers.reportS * operators.quietReports).secs
-        var up = 0
-        var silent = 0
-        for (machine in cluster.machines.values) {
-            val heardAt = machine.heardAt ?: continue
-            if (machine.condemned) continue
-            up++
-            if (desk.now - heardAt > quiet) silent++
-        }
-        return up >= ENOUGH && silent * 2 > up
+        val silent = up.count { desk.now - (it.heardAt ?: desk.now) > quiet }
+        return up.size >= ENOUGH && silent * 2 > up.size
     }
 
     private companion object {
--- a/src/main/kotlin/wardmux/fleet/Machine.kt
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -36,16 +36,15 @@
     var directBusy = false
     var directSince = Micros.LONG_AGO
 
-    /** Direct orders went unanswered in this session, so they may be carried out at any time. */
-    var directBroken = false
-        set(value) {
-            if (!value) brokenSince = null
-            field = value
-        }
-
-    /** Since when that is so. */
+    /**
+     * Since when direct orders have gone unanswered in this session, so that they may be carried
+     * out at any time; or null.
+     */
     var brokenSince: Micros? = null
 
+    val directBroken: Boolean
+        get() = brokenSince != null
+
     /** Its report is overdue, and asked for its state it did not answer; when it is asked next. */
     var probeFailed = false
     var probeAt = Micros.LONG_AGO
--- a/src/main/kotlin/wardmux/fleet/ReportReader.kt
+++ b/src/main/kotlin/wardmux/fleet/ReportReader.kt
@@ -2,8 +2,6 @@
 
 import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap
 import java.util.Arrays
-import kotlinx.serialization.SerializationException
-import wardmux.store.lenientJson
 
 /**
  * Reads workers' reports. Most say what the machine's last one said, but for the tick: these are
@@ -48,13 +46,7 @@
 
     private fun parse(body: ByteArray): Report? {
         parsed++
-        return try {
-            lenientJson.decodeFromString(Report.serializer(), body.decodeToString())
-        } catch (e: SerializationException) {
-            null
-        } catch (e: IllegalArgumentException) {
-            null
-        }
+        return Report.parse(body)
     }
 
     private fun isSame(body: ByteArray, from: Int, to: Int, last: Last) =
--- a/src/main/kotlin/wardmux/fleet/WorkerWire.kt
+++ b/src/main/kotlin/wardmux/fleet/WorkerWire.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import wardmux.store.lenientJson
 
 @Serializable
 enum class TaskStatus {
@@ -46,7 +47,18 @@
     @SerialName("baton") val token: Long = 0,
     @SerialName("recall_s") val recallS: Double? = null,
     @SerialName("pieces") val tasks: List<ReportedTask> = emptyList(),
-)
+) {
+    companion object {
+        /** Null if it is no report. */
+        fun parse(body: ByteArray): Report? =
+            try {
+                lenientJson.decodeFromString(serializer(), body.decodeToString())
+            } catch (e: IllegalArgumentException) {
+                // What can't be decoded is told by a kind of this, too.
+                null
+            }
+    }
+}
 
 @Serializable
 data class Order(
@@ -65,7 +77,15 @@
     }
 }
 
-@Serializable data class HelloAnswer(@SerialName("baton") val token: Long, val orders: List<Order>)
+@Serializable
+data class HelloAnswer(@SerialName("baton") val token: Long, val orders: List<Order>) {
+    fun encode(): ByteArray = lenientJson.encodeToString(serializer(), this).encodeToByteArray()
+
+    companion object {
+        /** Under no leader's token: the worker drops it, and stays with this controller. */
+        val DROPPED = HelloAnswer(0, emptyList()).encode()
+    }
+}
 
 /** Orders sent to the worker itself, outside its reports. */
 @Serializable
@@ -75,4 +95,7 @@
     val orders: List<Order>,
 )
 
-@Serializable data class Redirect(@SerialName("steward") val leader: String)
+@Serializable
+data class Redirect(@SerialName("steward") val leader: String) {
+    fun encode(): ByteArray = lenientJson.encodeToString(serializer(), this).encodeToByteArray()
+}
--- a/src/main/kotlin/wardmux/lead/Term.kt
+++ b/src/main/kotlin/wardmux/lead/Term.kt
@@ -100,7 +100,6 @@
             facts.limits,
             operators,
             platform.siblings.isNotEmpty(),
-            { leadership.unsureSince },
             ::mayRenew,
         )
     private val detours = DetourDesk(desk, store, role, ::take)
--- a/src/main/kotlin/wardmux/peers/Beat.kt
+++ b/src/main/kotlin/wardmux/peers/Beat.kt
@@ -1,8 +1,6 @@
 package wardmux.peers
 
-import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.cbor.Cbor
 
 /** How far a job is, for display. */
 @Serializable data class Progress(val job: String, val done: Int, val running: Int)
@@ -20,17 +18,8 @@
     val wantsRelays: Boolean = false,
 )
 
-@OptIn(ExperimentalSerializationApi::class)
 object BeatCodec {
-    private val cbor = Cbor { ignoreUnknownKeys = true }
+    fun encode(beat: Beat): ByteArray = PeerCodec.encode(Beat.serializer(), beat)
 
-    fun encode(beat: Beat): ByteArray = cbor.encodeToByteArray(Beat.serializer(), beat)
-
-    /** Null if it is none; on bytes that are no CBOR the decoder fails in more than one way. */
-    fun decode(bytes: ByteArray): Beat? =
-        try {
-            cbor.decodeFromByteArray(Beat.serializer(), bytes)
-        } catch (e: RuntimeException) {
-            null
-        }
+    fun decode(bytes: ByteArray): Beat? = PeerCodec.decode(Beat.serializer(), bytes)
 }
--- a/src/main/kotlin/wardmux/relay/Detour.kt
+++ b/src/main/kotlin/wardmux/relay/Detour.kt
@@ -14,7 +14,6 @@
 import wardmux.store.Priority
 import wardmux.store.Result
 import wardmux.store.StateStore
-import wardmux.store.Unread
 
 /**
  * The way from a relay to the leader when the two can't connect: through the state service, packed
@@ -105,7 +104,7 @@
     }
 
     private fun startAnew() =
-        store.scan(Detour.BATCHES, Unread.serializer()) { found ->
+        store.scan(Detour.BATCHES, JsonElement.serializer()) { found ->
             if (found != null) watchFrom = found.epoch
             watchAt = desk.now + RETRY
         }
--- a/src/main/kotlin/wardmux/relay/Relay.kt
+++ b/src/main/kotlin/wardmux/relay/Relay.kt
@@ -10,7 +10,6 @@
 import wardmux.app.WorkerFacts
 import wardmux.fleet.Fleet
 import wardmux.fleet.HelloAnswer
-import wardmux.fleet.Order
 import wardmux.fleet.Redirect
 import wardmux.fleet.Report
 import wardmux.lead.Leadership
@@ -18,7 +17,6 @@
 import wardmux.logger
 import wardmux.millis
 import wardmux.secs
-import wardmux.store.lenientJson
 
 /**
  * A follower's part in taking reports. It decides nothing: it answers workers under the leader's
@@ -156,14 +154,9 @@
             seen.refused = false
             seen.mail = null
         }
-        if (theirs != null) plainAnswer = answerBody(theirs, emptyList())
+        if (theirs != null) plainAnswer = HelloAnswer(theirs.value, emptyList()).encode()
     }
 
-    private fun answerBody(token: Token, orders: List<Order>) =
-        lenientJson
-            .encodeToString(HelloAnswer.serializer(), HelloAnswer(token.value, orders))
-            .encodeToByteArray()
-
     private fun take(call: Long, report: Report, body: ByteArray) {
         val seen = machines.getOrPut(report.machine) { Seen() }
         seen.heardAt = desk.now
@@ -172,20 +165,20 @@
             seen.refused -> return desk.answer(call, 503)
             shedLeft > 0 && target != null -> {
                 shedLeft--
-                return desk.answer(call, 421, redirect(target))
+                return desk.answerBytes(call, 421, Redirect(target).encode())
             }
-            sendsOn && desk.now - seen.sentOnAt > workers.leaseS.secs * SEND_ON_PART -> {
+            sendsOn && desk.now - seen.sentOnAt >= Fleet.sendOnPause(workers) -> {
                 seen.sentOnAt = desk.now
                 return desk.answer(call, 421)
             }
         }
-        if (!renews) return desk.answerBytes(call, 200, Fleet.NOT_RENEWED)
+        if (!renews) return desk.answerBytes(call, 200, HelloAnswer.DROPPED)
         note(seen, report, body)
         val mail = seen.mail
         seen.mail = null
         val current = token ?: return
         if (mail == null || mail.shift != report.shift) desk.answerBytes(call, 200, plainAnswer)
-        else desk.answerBytes(call, 200, answerBody(current, mail.orders))
+        else desk.answerBytes(call, 200, HelloAnswer(current.value, mail.orders).encode())
         if (urgent && desk.now - sentAt >= pause()) hand()
     }
 
@@ -352,9 +345,6 @@
         for (one in all) if (!hello(one.call, one.report, one.body)) sendOn(one.call)
     }
 
-    private fun redirect(target: String) =
-        lenientJson.encodeToString(Redirect.serializer(), Redirect(target))
-
     private companion object {
         /** Between two batches of one relay, for each that there may be: the leader takes all. */
         val SPACING_EACH = 50.millis
@@ -364,7 +354,6 @@
         val FAILED_RECENTLY = 2.secs
         val LONGEST_PARKED = 1.secs
         const val MOST_PARKED = 1_000
-        const val SEND_ON_PART = 0.5
         const val KEPT_REPORTS = 3.0
         val SWEEP_PERIOD = 5.secs
         const val MOST_BYTES = 200_000
--- a/src/main/kotlin/wardmux/relay/RelayWire.kt
+++ b/src/main/kotlin/wardmux/relay/RelayWire.kt
@@ -7,13 +7,12 @@
 import java.util.zip.DeflaterOutputStream
 import java.util.zip.InflaterInputStream
 import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
-import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.jsonPrimitive
 import wardmux.fleet.Order
+import wardmux.peers.PeerCodec
 
 /** A worker's report that differs from the last one handed on, as the worker sent it. */
 @Serializable
@@ -82,30 +81,27 @@
 /** What the leader answers by way of the state service. */
 @Serializable class StoredAnswers(val byMember: Map<String, BatchAnswer>)
 
-@OptIn(ExperimentalSerializationApi::class)
 object RelayCodec {
     const val PATH = "/relay"
-    private val cbor = Cbor { ignoreUnknownKeys = true }
 
-    fun encode(batch: Batch): ByteArray = cbor.encodeToByteArray(Batch.serializer(), batch)
+    fun encode(batch: Batch): ByteArray = PeerCodec.encode(Batch.serializer(), batch)
 
-    fun encode(answer: BatchAnswer): ByteArray =
-        cbor.encodeToByteArray(BatchAnswer.serializer(), answer)
+    fun encode(answer: BatchAnswer): ByteArray = PeerCodec.encode(BatchAnswer.serializer(), answer)
 
-    fun batch(bytes: ByteArray): Batch? = decode(Batch.serializer(), bytes)
+    fun batch(bytes: ByteArray): Batch? = PeerCodec.decode(Batch.serializer(), bytes)
 
-    fun answer(bytes: ByteArray): BatchAnswer? = decode(BatchAnswer.serializer(), bytes)
+    fun answer(bytes: ByteArray): BatchAnswer? = PeerCodec.decode(BatchAnswer.serializer(), bytes)
 
     /** As the state service keeps it. */
     fun pack(batch: Batch): String = packed(encode(batch))
 
     fun pack(answers: StoredAnswers): String =
-        packed(cbor.encodeToByteArray(StoredAnswers.serializer(), answers))
+        packed(PeerCodec.encode(StoredAnswers.serializer(), answers))
 
     fun batch(stored: JsonElement): Batch? = unpacked(stored)?.let { batch(it) }
 
     fun answers(stored: JsonElement): StoredAnswers? =
-        unpacked(stored)?.let { decode(StoredAnswers.serializer(), it) }
+        unpacked(stored)?.let { PeerCodec.decode(StoredAnswers.serializer(), it) }
 
     private fun packed(bytes: ByteArray): String {
         val out = ByteArrayOutputStream()
@@ -125,12 +121,4 @@
         }
 
     private const val MOST_UNPACKED = 1 shl 20
-
-    /** Null if it is none; on bytes that are no CBOR the decoder fails in more than one way. */
-    private fun <T> decode(serializer: KSerializer<T>, bytes: ByteArray): T? =
-        try {
-            cbor.decodeFromByteArray(serializer, bytes)
-        } catch (e: RuntimeException) {
-            null
-        }
 }
--- a/src/main/kotlin/wardmux/relay/Relays.kt
+++ b/src/main/kotlin/wardmux/relay/Relays.kt
@@ -32,7 +32,6 @@
     private val limits: LimitFacts,
     private val operators: OperatorSettings,
     hasSiblings: Boolean,
-    private val unsureSince: () -> Micros?,
     private val mayRenew: () -> Boolean,
 ) {
     /** One process that was ever given a grant in this term. */
@@ -52,6 +51,7 @@
     private val log = logger<Relays>()
     private val electedAt = desk.now
     private val seats = ArrayList<Seat>()
+
     /** How long a relay may answer without hearing from this leader. */
     val grant = minOf(workers.leaseS.secs * GRANT_PART, LONGEST_GRANT).coerceAtLeast(SHORTEST_GRANT)
     private var decideAt = Micros.LONG_AGO
@@ -67,6 +67,9 @@
 
     private val alone = !hasSiblings
 
+    /** It was decided whether they go on. */
+    private var settled = false
+
     fun take(batch: Batch): BatchAnswer {
         val seat = seatOf(batch)
         seat.batchAt = desk.now
@@ -107,7 +110,7 @@
                 refuse,
                 seat.shed,
                 seat.shedTo,
-                unsureSince()?.let { desk.now - it > Fleet.SEND_ON_AFTER } == true,
+                fleet.sendsOn,
                 mayRenew(),
             )
         seat.shed = 0
@@ -190,8 +193,6 @@
         }
     }
 
-    private var settled = false
-
     /**
      * In small steps from who has too many to who has the fewest. The leader, which decides for
      * all, counts for less than one of the others.
--- a/src/test/kotlin/wardmux/fleet/FleetTest.kt
+++ b/src/test/kotlin/wardmux/fleet/FleetTest.kt
@@ -21,15 +21,28 @@
 
     private fun startsOf(task: String) = rig.direct.count { "\"start\"" in it && task in it }
 
-    @Test
-    fun `a machine that orders do not reach gets no more, and only its deletion frees the task`() {
+    /** The start of a job's only task goes out to the first machine, and no answer comes. */
+    private fun startUnanswered(): Long {
         rig.run(2.secs)
         val token = first.token()
         first.hello(token)
         rig.directOutcome = Outcome.Unknown
         rig.accept(plainJob(1))
-        repeat(4) { rig.run(0.5.secs) }
+        rig.run(2.secs)
         assertEquals(1, startsOf("job-000001/0"))
+        return token
+    }
+
+    private fun bothReport(token: Long) =
+        repeat(20) {
+            first.report(token)
+            second.report(token)
+            rig.run(1.secs)
+        }
+
+    @Test
+    fun `a machine that orders do not reach gets no more, and only its deletion frees the task`() {
+        val token = startUnanswered()
         // Its reports go on, and none shows the task.
         repeat(3) {
             first.hello(token)
@@ -37,11 +50,7 @@
             rig.run(1.secs)
         }
         rig.accept(plainJob(1, "job-000002"))
-        repeat(20) {
-            first.report(token)
-            second.report(token)
-            rig.run(1.secs)
-        }
+        bothReport(token)
         assertTrue(deletions("i-000001") > 0, "kept, though orders do not reach it")
         assertEquals(0, startsOf(""""job-000001/0","try":2"""), "started while it may still start")
         assertEquals(1, startsOf("job-000002/0"))
@@ -49,21 +58,11 @@
 
     @Test
     fun `nor is it kept for ever if what is stored is read again meanwhile`() {
-        rig.run(2.secs)
-        val token = first.token()
-        first.hello(token)
-        rig.directOutcome = Outcome.Unknown
-        rig.accept(plainJob(1))
-        rig.run(1.secs)
-        assertEquals(1, startsOf("job-000001/0"))
+        val token = startUnanswered()
         // Somebody else's write: the leader no longer knows what is stored.
         rig.write("tags", rig.stored("tags")!!)
         rig.accept(plainJob(1, "job-000002"))
-        repeat(20) {
-            first.report(token)
-            second.report(token)
-            rig.run(1.secs)
-        }
+        bothReport(token)
         assertTrue(deletions("i-000001") > 0, "kept, though orders do not reach it")
     }
 
