Leases: what a leader knows of cancellations counts from when it asked; siblings tell it too

Cause: a leader counted itself informed for as long as it was sure of its lease, up to 4 s after the state service had begun to refuse it, while another controller confirmed cancellations; it then renewed leases for longer than cancel_s allows. A new leader that had read nothing renewed without any knowledge from half a lease on, for as long as an outage lasted. And one that knew all went on holding leases back in an outage for all, in which nobody can cancel anything.

Now each controller tells its siblings, with the answer to their beats, what it told users to be cancelled; the watch of the open jobs lasts 2 s and counts from when it was sent; a replaced process counts as unknown until the state service has shown what its predecessor told. A machine on which something cancelled may still be is not renewed beyond what cancel_s allows.

Besides: a leader that may not renew still takes in what reports show, and a session that is first heard of lives for a lease from its beginning.

--- a/src/main/kotlin/wardmux/app/Controller.kt
+++ b/src/main/kotlin/wardmux/app/Controller.kt
@@ -19,6 +19,7 @@
 import wardmux.lead.Term
 import wardmux.logger
 import wardmux.peers.BeatCodec
+import wardmux.peers.Cancellations
 import wardmux.peers.Peers
 import wardmux.relay.Detour
 import wardmux.relay.Relay
@@ -40,9 +41,21 @@
     private val store = StateStore(desk, platform.facts.state, platform.facts.nodes)
     private val cloud = CloudClient(desk, platform.facts.cloud.rps)
     private val types = TypeBook(desk, store, cloud)
-    private val peers = Peers(desk, platform.member, platform.siblings.map { it.member })
+    private val siblings = platform.siblings.map { it.member }
+    private val cancellations =
+        Cancellations(
+            desk,
+            store,
+            boot,
+            siblings,
+            Cancellations.horizon(platform.facts.workers.cancelS.secs),
+        ) {
+            term?.cancelled(it)
+        }
+    private val peers = Peers(desk, platform.member, siblings, cancellations)
     private val reader = ReportReader()
-    private val intake = Intake(desk, store, types, platform.facts.teams, ::progressOf)
+    private val intake =
+        Intake(desk, store, types, platform.facts.teams, cancellations::confirmed, ::progressOf)
     private var term: Term? = null
     private val leadership =
         Leadership(
@@ -85,6 +98,7 @@
                 operators,
                 reader,
                 intake::learnFinal,
+                cancellations,
                 peers::hearsOthers,
             )
     }
@@ -112,6 +126,7 @@
 
     private fun tick() {
         leadership.tick()
+        cancellations.tick()
         intake.tick()
         types.tick(leading = term != null)
         term?.tick()
@@ -192,9 +207,9 @@
     private fun beat(call: Input.Call) {
         val beat = BeatCodec.decode(call.body)
         if (beat == null || !peers.knows(beat.member)) return desk.answer(call.id, 400)
-        peers.received(beat)
+        val told = peers.received(beat)
         beat.token?.let { leadership.heard(beat.member, Token(it)) }
-        desk.answer(call.id, 200)
+        desk.answerBytes(call.id, 200, BeatCodec.encode(told))
     }
 
     private fun batch(call: Input.Call) {
--- a/src/main/kotlin/wardmux/dispatch/Cluster.kt
+++ b/src/main/kotlin/wardmux/dispatch/Cluster.kt
@@ -106,6 +106,7 @@
 
     /** Nothing of the job is to go on: what is left of it is taken down. */
     fun end(job: Job) {
+        if (!job.over) job.overAt = desk.now
         job.over = true
         for (placement in job.placements.values) machines[placement.machine]?.let { due.add(it) }
     }
--- a/src/main/kotlin/wardmux/dispatch/Job.kt
+++ b/src/main/kotlin/wardmux/dispatch/Job.kt
@@ -62,6 +62,9 @@
     /** Cancelled or done: nothing starts any more, and what is left is taken down. */
     var over = false
 
+    /** When this leader learned that it is over. */
+    var overAt = Micros.LONG_AGO
+
     /** The record says done. */
     var finished = false
 
--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -1,6 +1,7 @@
 package wardmux.fleet
 
 import wardmux.Desk
+import wardmux.JobId
 import wardmux.MachineId
 import wardmux.Micros
 import wardmux.Outcome
@@ -36,6 +37,10 @@
     private val sendAway: () -> String?,
     /** False while this leader may keep nothing alive: it may not know what was cancelled. */
     private val mayRenew: () -> Boolean,
+    /** Users were told lately that the job is cancelled. */
+    private val isCancelled: (JobId) -> Boolean,
+    /** How long a lease may be renewed with something on the machine that was cancelled. */
+    private val cancelledFor: Micros,
 ) {
     private val log = logger<Fleet>()
 
@@ -62,7 +67,11 @@
         sendAway()?.let {
             return desk.answerBytes(call, 421, Redirect(it).encode())
         }
-        if (!mayRenew()) return desk.answerBytes(call, 200, HelloAnswer.DROPPED)
+        // Not renewed, but heard: what it shows is as good as ever, a new session above all.
+        if (!mayRenew()) {
+            takeIn(machine, report, null, desk.now)
+            return desk.answerBytes(call, 200, HelloAnswer.DROPPED)
+        }
         machine.renewedAt = desk.now
         answer(call, hear(machine, report, null, desk.now))
     }
@@ -95,9 +104,18 @@
     /** Not one that is given up: its lease is to end if its deletion takes long. */
     private fun mayAnswer(machine: Machine, report: Report): Boolean {
         if (machine.condemned && isNewer(machine, report)) note(machine, report, desk.now)
-        return !machine.condemned
+        return !machine.condemned && !holdsCancelled(machine)
     }
 
+    /**
+     * What is left on it of a cancelled job has outlasted its halts, or may be a start that is
+     * still under way: only the end of the session, or the machine's, stops that in time.
+     */
+    private fun holdsCancelled(machine: Machine) =
+        machine.placements.values.any {
+            it.job.over && !it.job.finished && desk.now - it.job.overAt > cancelledFor
+        }
+
     /** Of a report that is answered: that may renew the lease, also if it is no sign of life. */
     private fun hear(
         machine: Machine,
@@ -105,16 +123,31 @@
         relay: String?,
         heardAt: Micros,
     ): List<Order> {
-        // Late, a copy, or overtaken by a direct order's answer: it shows nothing.
-        if (!isNewer(machine, report)) return emptyList()
+        if (!takeIn(machine, report, relay, heardAt)) return emptyList()
+        // What is stored is being read, perhaps for long; of what was cancelled it is known
+        // already.
+        if (!loaded()) return haltsOfCancelled(report)
+        return orders(machine, report, starts = relay == null)
+    }
+
+    /** False if it shows nothing: late, a copy, or overtaken by a direct order's answer. */
+    private fun takeIn(machine: Machine, report: Report, relay: String?, heardAt: Micros): Boolean {
+        if (!isNewer(machine, report)) return false
         note(machine, report, heardAt)
         machine.via = relay
-        if (!loaded()) return emptyList()
+        if (!loaded()) return true
         reconcile(machine, report)
         proveAbsent(machine, report)
-        return orders(machine, report, starts = relay == null)
+        return true
     }
 
+    private fun haltsOfCancelled(report: Report) =
+        report.tasks.mapNotNull { reported ->
+            val task = TaskId.parse(reported.task)
+            val stop = reported.status != TaskStatus.ENDED && task != null && isCancelled(task.job)
+            if (stop) Order.halt(reported.task, reported.attempt, 0.0) else null
+        }
+
     /**
      * A leader that has been unsure for a while may be cut off from all but its workers, and then a
      * successor can't reach them. So each is sent on once in a while, for any other controller to
@@ -144,6 +177,8 @@
             machine.loose.clear()
             machine.endedSince.clear()
             machine.brokenSince = null
+            // It lives for a lease from its beginning, whoever answered the one before.
+            machine.renewedAt = maxOf(machine.renewedAt, desk.now)
         }
         machine.endpoint = report.endpoint
         machine.shift = report.shift
--- a/src/main/kotlin/wardmux/fleet/Machine.kt
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -14,7 +14,7 @@
     /** When its last report under this leader's token came that was no copy: a sign of life. */
     var heardAt: Micros? = null
 
-    /** When a report of it was last answered; its lease may run from then. */
+    /** When a report of it was last answered, or its session first seen: its lease may run on. */
     var renewedAt = Micros.LONG_AGO
 
     /** When it was first heard of under an older token; perhaps by a copy of an old report. */
--- a/src/main/kotlin/wardmux/intake/Intake.kt
+++ b/src/main/kotlin/wardmux/intake/Intake.kt
@@ -35,6 +35,8 @@
     private val store: StateStore,
     private val types: TypeBook,
     teams: List<TeamFacts>,
+    /** A user is about to be told that the job is cancelled. */
+    private val cancelled: (JobId) -> Unit,
     private val progressOf: (JobId) -> Progress?,
 ) {
     private val log = logger<Intake>()
@@ -47,6 +49,7 @@
 
     fun learnFinal(job: JobId, state: JobState) {
         if (state == JobState.ACCEPTED) return
+        if (state == JobState.CANCELLED) cancelled(job)
         polls.forget(job)
         finals.putAndMoveToLast(job.value, state)
         if (finals.size > MAX_FINALS) finals.removeFirst()
--- a/src/main/kotlin/wardmux/lead/Term.kt
+++ b/src/main/kotlin/wardmux/lead/Term.kt
@@ -27,6 +27,7 @@
 import wardmux.intake.JobState
 import wardmux.logger
 import wardmux.millis
+import wardmux.peers.Cancellations
 import wardmux.peers.Progress
 import wardmux.relay.Batch
 import wardmux.relay.BatchAnswer
@@ -54,12 +55,23 @@
     private val operators: OperatorSettings,
     private val reader: ReportReader,
     private val learnFinal: (JobId, JobState) -> Unit,
+    private val cancellations: Cancellations,
     /** True if another controller could lead. */
     private val hasSiblings: () -> Boolean,
 ) : Ledger.Listener {
     private val log = logger<Term>()
     private val facts = platform.facts
     private val pageSize = Job.pageSize(store.maxValueBytes)
+
+    /** How long leases may be renewed without knowing of a cancellation. */
+    private val uninformedFor: Micros =
+        maxOf(
+            facts.workers.cancelS.secs -
+                facts.workers.leaseS.secs * (1 + Leadership.DRIFT) -
+                Relays.grant(facts.workers) -
+                UNINFORMED_MARGIN,
+            UNINFORMED_LEAST,
+        )
     private val queue =
         FairQueue(
             facts.teams.associate { it.name to it.cpus },
@@ -87,6 +99,8 @@
             leadership::seen,
             ::sendAway,
             ::mayRenew,
+            cancellations::contains,
+            uninformedFor,
         )
     private val relays =
         Relays(
@@ -137,8 +151,8 @@
     private var cutOffAt = desk.now + operators.leaderLeaseS.secs
     private var over = false
 
-    /** When this leader last knew of all cancellations; null until it has read what is stored. */
-    private var informedAt: Micros? = null
+    /** It has read what is stored at least once. */
+    private var informed = false
     private val electedAt = desk.now
 
     /** Counts readings of what is stored, so that the answers to an abandoned one are dropped. */
@@ -182,26 +196,27 @@
     /**
      * A leader that does not know what was cancelled can't take it down, so it keeps nothing alive
      * beyond what the users were promised: a lease that it renews, itself or through a relay, must
-     * be over in time. One that has not read yet renews only if reading takes so long that all work
-     * would be lost otherwise.
+     * be over in time. What it knows counts from when the question that told it was sent: its own
+     * lease says nothing of it, and a watch that is open may be one that the service has stopped
+     * serving. One that has not read yet renews only if reading takes so long that all work would
+     * be lost otherwise, and only with the same knowledge.
      */
     private fun mayRenew(): Boolean {
-        val since =
-            informedAt ?: return desk.now - electedAt > facts.workers.leaseS.secs * LATE_PART
-        return desk.now - since <= uninformedFor
+        val early = desk.now - electedAt <= facts.workers.leaseS.secs * LATE_PART
+        if (!informed && early) return false
+        return desk.now - cancellations.informedAt <= uninformedFor
     }
 
-    private val uninformedFor =
-        maxOf(
-            facts.workers.cancelS.secs -
-                facts.workers.leaseS.secs * (1 + Leadership.DRIFT) -
-                relays.grant -
-                UNINFORMED_MARGIN,
-            UNINFORMED_LEAST,
-        )
+    /** A user was told so, by this controller or by another. */
+    fun cancelled(id: JobId) {
+        val job = cluster.jobs[id] ?: return
+        if (job.finished || job.over || job.complete) return
+        log.info("{} is cancelled; {} tasks are out", job.id, job.placements.size)
+        cluster.end(job)
+        fleet.sendDirect()
+    }
 
     fun tick() {
-        if (loaded && leadership.sure) informedAt = desk.now
         cluster.reference = types.types?.maxByOrNull { it.cpus }
         relays.tick(loaded)
         detours.tick()
@@ -263,6 +278,7 @@
 
     private fun load() {
         loadAt = null
+        val askedAt = desk.now
         // Also what an earlier reading took in before it failed half-way: a job that was cancelled
         // since would stay, and its tasks with it.
         cluster.forgetJobs()
@@ -289,7 +305,7 @@
                         if (stale(own)) return@scan
                         if (condemned == null) return@scan again()
                         loadCancelled(own, again) { cancelled ->
-                            finishLoad(open, cancelled, pages.items, condemned.items)
+                            finishLoad(askedAt, open, cancelled, pages.items, condemned.items)
                         }
                     }
                 }
@@ -312,6 +328,7 @@
     }
 
     private fun finishLoad(
+        askedAt: Micros,
         open: StateStore.Scan<JobRecord>,
         cancelled: List<Scanned<JobRecord>>,
         pages: List<Scanned<StoredPage>>,
@@ -320,9 +337,12 @@
         for (item in open.items) addJob(item.data ?: continue, Stamp(item.stamp))
         for (item in cancelled) {
             // One that was cancelled since the open ones were read: the watch tells that.
-            if (JobId(item.key.removePrefix(JobRecord.CANCELLED_PREFIX)) in cluster.jobs) continue
-            addJob(item.data ?: continue, Stamp(item.stamp))?.over = true
+            val id = JobId(item.key.removePrefix(JobRecord.CANCELLED_PREFIX))
+            cancellations.learn(id)
+            if (id in cluster.jobs) continue
+            addJob(item.data ?: continue, Stamp(item.stamp))?.let { cluster.end(it) }
         }
+        cancellations.shown(askedAt)
         for (item in pages) loadPage(item)
         for (item in condemned) {
             val id = MachineId(item.key.removePrefix(Ledger.MACHINES))
@@ -331,6 +351,7 @@
         watchFrom = open.epoch
         watchAt = desk.now
         loaded = true
+        informed = true
         log.info(
             "token {} has read {} jobs with {} placements",
             role.token,
@@ -370,12 +391,14 @@
     private fun watch() {
         watchAt = null
         val own = reading
+        val askedAt = desk.now
         store.watch(JobRecord.OPEN_PREFIX, watchFrom, WATCH_TIME, Priority.LEADER) { result ->
             if (stale(own)) return@watch
             when (result) {
                 is Result.Ok -> {
                     watchFrom = maxOf(watchFrom, result.value.epoch)
                     for (event in result.value.events) take(event)
+                    cancellations.shown(askedAt)
                     watchAt = desk.now + WATCH_PAUSE
                     cycle()
                 }
@@ -392,10 +415,9 @@
         if (put != null && event.data != null) {
             JobRecord.of(event.data)?.let { addJob(it, Stamp(event.stamp)) }
         } else if (removed != null) {
+            // Of a job that is done it was this leader that removed it.
             val job = cluster.jobs[JobId(removed.removePrefix(JobRecord.OPEN_PREFIX))] ?: return
-            if (job.finished || job.over || job.complete) return
-            log.info("{} is cancelled; {} tasks are out", job.id, job.placements.size)
-            cluster.end(job)
+            if (!job.finished) cancellations.learn(job.id)
         }
     }
 
@@ -478,7 +500,8 @@
 
     private companion object {
         val LOAD_RETRY = 300.millis
-        val WATCH_TIME = 8.secs
+        /** Short, as what is known counts from when the watch began. */
+        val WATCH_TIME = 2.secs
         val WATCH_PAUSE = 80.millis
         val WATCH_RETRY = 400.millis
         val PREEMPT_PERIOD = 500.millis
@@ -488,7 +511,7 @@
         const val MOST_PROGRESS = 500
         const val LATE_PART = 0.5
 
-        /** How far what the watch tells may be behind, and a halt's way to its machine. */
+        /** A halt's way to its machine. */
         val UNINFORMED_MARGIN = 1500.millis
 
         /** A leader that knows all learns that it does a few times a second. */
--- a/src/main/kotlin/wardmux/peers/Beat.kt
+++ b/src/main/kotlin/wardmux/peers/Beat.kt
@@ -16,10 +16,16 @@
     val progress: List<Progress> = emptyList(),
     /** The leader wants the others to take workers' reports too. */
     val wantsRelays: Boolean = false,
+    /** Of what the others told users to be cancelled, how much is known here. */
+    val heard: List<Heard> = emptyList(),
 )
 
 object BeatCodec {
     fun encode(beat: Beat): ByteArray = PeerCodec.encode(Beat.serializer(), beat)
 
     fun decode(bytes: ByteArray): Beat? = PeerCodec.decode(Beat.serializer(), bytes)
+
+    fun encode(told: Told): ByteArray = PeerCodec.encode(Told.serializer(), told)
+
+    fun told(bytes: ByteArray): Told? = PeerCodec.decode(Told.serializer(), bytes)
 }
--- /dev/null
+++ b/src/main/kotlin/wardmux/peers/Cancellations.kt
@@ -0,0 +1,168 @@
+package wardmux.peers
+
+import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap
+import kotlinx.serialization.Serializable
+import wardmux.Desk
+import wardmux.JobId
+import wardmux.Micros
+import wardmux.intake.JobRecord
+import wardmux.lead.Leadership
+import wardmux.logger
+import wardmux.secs
+import wardmux.store.StateStore
+import wardmux.store.Unread
+
+/** How many of the cancellations that process [boot] of [member] told the asker has. */
+@Serializable class Heard(val member: String, val boot: String, val count: Long)
+
+/** What a process has told users to be cancelled, as an answer to a sibling's beat. */
+@Serializable
+class Told(
+    val boot: String,
+    /** How long this process has run, in microseconds: it answers for no former one. */
+    val up: Long,
+    /** Counted from the first that this process told: that of the first of [jobs]. */
+    val from: Long,
+    val jobs: List<String> = emptyList(),
+    /** There are more than fit into one answer. */
+    val more: Boolean = false,
+)
+
+/**
+ * What users were told to be cancelled, by any controller, and up to when this one surely knows all
+ * of it. The state service says so, and so do the siblings, each for what it told itself: a leader
+ * that the state service refuses goes on knowing, and in an outage for all, in which nobody can
+ * cancel anything, it may go on keeping its workers' leases alive.
+ *
+ * What is told by one sibling is as good as what the state service shows: it was recorded first.
+ * But a process that is gone, or can't be heard, may have told something that nobody else knows.
+ */
+class Cancellations(
+    private val desk: Desk,
+    private val store: StateStore,
+    private val boot: String,
+    private val siblings: List<String>,
+    /** What was cancelled longer ago can't be on a machine any more. */
+    private val horizon: Micros,
+    /** One that this process did not know of. */
+    private val learned: (JobId) -> Unit,
+) {
+    private class Own(val job: JobId, val at: Micros)
+
+    /** What is known of a sibling's present process. */
+    private class Word(val boot: String, val since: Micros) {
+        var count = 0L
+        var at = Micros.LONG_AGO
+    }
+
+    private val log = logger<Cancellations>()
+    private var startedAt: Micros? = null
+    private val own = ArrayDeque<Own>()
+    private var dropped = 0L
+    private val words = HashMap<String, Word>()
+    private val known = Object2ObjectLinkedOpenHashMap<JobId, Micros>()
+
+    /** All that was told before then was shown by the state service. */
+    private var shownAt = Micros.LONG_AGO
+    private var scanAt = Micros.LONG_AGO
+    private var scanning = false
+
+    operator fun contains(job: JobId) = known.containsKey(job)
+
+    /** This process is about to tell a user. */
+    fun confirmed(job: JobId) {
+        if (own.none { it.job == job }) own.addLast(Own(job, desk.now))
+        learn(job)
+    }
+
+    fun learn(job: JobId) {
+        if (known.putAndMoveToLast(job, desk.now) == null) learned(job)
+    }
+
+    /** The state service has shown all that was recorded before [at]. */
+    fun shown(at: Micros) {
+        shownAt = maxOf(shownAt, at)
+    }
+
+    /** All that any user was told before then is known. */
+    val informedAt: Micros
+        get() = maxOf(shownAt, siblingsAt() ?: shownAt)
+
+    private fun siblingsAt(): Micros? {
+        if (!covers(startedAt ?: return null)) return null
+        var least = desk.now
+        for (sibling in siblings) {
+            val word = words[sibling] ?: return null
+            if (!covers(word.since)) return null
+            least = minOf(least, word.at)
+        }
+        return least
+    }
+
+    /** What processes before [since] told is known, or too old to matter. */
+    private fun covers(since: Micros) = shownAt >= since || desk.now - since > horizon
+
+    fun heard(): List<Heard> = words.map { (name, word) -> Heard(name, word.boot, word.count) }
+
+    /** For a sibling that has the [heard] of what this process told. */
+    fun tell(heard: Heard?): Told {
+        prune()
+        val from = maxOf(heard?.takeIf { it.boot == boot }?.count ?: 0, dropped)
+        val rest = own.drop((from - dropped).toInt())
+        val jobs = rest.take(MOST_TOLD).map { it.job.value }
+        val up = (desk.now - (startedAt ?: desk.now)).value
+        return Told(boot, up, from, jobs, more = rest.size > MOST_TOLD)
+    }
+
+    /** The answer of [member] to what was sent at [sentAt]: it holds all that it told till then. */
+    fun take(member: String, told: Told, sentAt: Micros) {
+        var word = words[member]
+        if (word == null || word.boot != told.boot) {
+            val since = desk.now - Micros(told.up.coerceAtLeast(0)) * (1 - Leadership.DRIFT)
+            word = Word(told.boot, since).also { words[member] = it }
+        }
+        for (job in told.jobs) learn(JobId(job))
+        word.count = maxOf(word.count, told.from + told.jobs.size)
+        if (!told.more) word.at = maxOf(word.at, sentAt)
+    }
+
+    /**
+     * Another process of a member, or this one, has begun: what the one before told is asked of the
+     * state service, once.
+     */
+    fun tick() {
+        val begun = startedAt ?: desk.now.also { startedAt = it }
+        if (scanning || desk.now < scanAt) return
+        if (covers(begun) && words.values.all { covers(it.since) }) return
+        scanning = true
+        scanAt = desk.now + SCAN_PERIOD
+        val sentAt = desk.now
+        store.scan(JobRecord.CANCELLED_PREFIX, Unread.serializer()) { found ->
+            scanning = false
+            if (found == null) return@scan
+            for (item in found.items) learn(
+                JobId(item.key.removePrefix(JobRecord.CANCELLED_PREFIX))
+            )
+            shown(sentAt)
+            log.debug("{} cancelled jobs are known", known.size)
+        }
+    }
+
+    private fun prune() {
+        while (own.isNotEmpty() && desk.now - own.first().at > horizon) {
+            own.removeFirst()
+            dropped++
+        }
+        while (!known.isEmpty() && desk.now - known[known.firstKey()]!! > horizon + horizon) {
+            known.removeFirst()
+        }
+    }
+
+    companion object {
+        private const val MOST_TOLD = 500
+        private val SCAN_PERIOD = 2.secs
+
+        /** Somewhat more than a cancelled job's tasks may live. */
+        fun horizon(cancelTime: Micros) = cancelTime * 1.1 + 5.secs
+    }
+}
--- a/src/main/kotlin/wardmux/peers/Peers.kt
+++ b/src/main/kotlin/wardmux/peers/Peers.kt
@@ -2,6 +2,7 @@
 
 import wardmux.Desk
 import wardmux.Micros
+import wardmux.Outcome
 import wardmux.Target
 import wardmux.Token
 import wardmux.millis
@@ -15,6 +16,7 @@
     private val desk: Desk,
     private val member: String,
     private val siblings: List<String>,
+    private val cancellations: Cancellations,
 ) {
     private class Heard(val at: Micros, val stateSilence: Micros)
 
@@ -32,7 +34,13 @@
     fun progressOf(job: String): Progress? =
         if (desk.now - progressAt < STALE) progress[job] else null
 
-    fun received(beat: Beat) {
+    /** The answer says what this controller told users to be cancelled. */
+    fun received(beat: Beat): Told {
+        note(beat)
+        return cancellations.tell(beat.heard.find { it.member == member })
+    }
+
+    private fun note(beat: Beat) {
         heard[beat.member] = Heard(desk.now, Micros(beat.stateSilence))
         val token = beat.token ?: return
         // A late copy of what a former leader said.
@@ -69,10 +77,18 @@
         if (desk.now < beatAt) return
         beatAt = desk.now + PERIOD
         val silence = (desk.now - stateAnsweredAt).value
-        val body = BeatCodec.encode(Beat(member, token?.value, silence, progress(), wantsRelays))
+        val heard = cancellations.heard()
+        val beat = Beat(member, token?.value, silence, progress(), wantsRelays, heard)
+        val body = BeatCodec.encode(beat)
+        val sentAt = desk.now
         for (sibling in siblings) {
             if (!busy.add(sibling)) continue
-            desk.send(Target.Sibling(sibling), "POST", PATH, body, TIMEOUT) { busy.remove(sibling) }
+            desk.send(Target.Sibling(sibling), "POST", PATH, body, TIMEOUT) { outcome ->
+                busy.remove(sibling)
+                val response = outcome as? Outcome.Response
+                val told = response?.takeIf { it.status == 200 }?.let { BeatCodec.told(it.body) }
+                if (told != null) cancellations.take(sibling, told, sentAt)
+            }
         }
     }
 
--- a/src/main/kotlin/wardmux/relay/Relay.kt
+++ b/src/main/kotlin/wardmux/relay/Relay.kt
@@ -172,8 +172,8 @@
                 return desk.answer(call, 421)
             }
         }
-        if (!renews) return desk.answerBytes(call, 200, HelloAnswer.DROPPED)
         note(seen, report, body)
+        if (!renews) return desk.answerBytes(call, 200, HelloAnswer.DROPPED)
         val mail = seen.mail
         seen.mail = null
         val current = token ?: return
--- a/src/main/kotlin/wardmux/relay/Relays.kt
+++ b/src/main/kotlin/wardmux/relay/Relays.kt
@@ -53,7 +53,7 @@
     private val seats = ArrayList<Seat>()
 
     /** How long a relay may answer without hearing from this leader. */
-    val grant = minOf(workers.leaseS.secs * GRANT_PART, LONGEST_GRANT).coerceAtLeast(SHORTEST_GRANT)
+    private val grant = grant(workers)
     private var decideAt = Micros.LONG_AGO
     private var shed = 0
     private var shedTo: String? = null
@@ -231,19 +231,23 @@
         return shedTo
     }
 
-    private companion object {
-        const val GRANT_PART = 0.33
-        val LONGEST_GRANT = 8.secs
-        val SHORTEST_GRANT = 500.millis
-        const val KEPT_LEASES = 3.0
-        val PERIOD = 1.secs
-        val BATCH_STALE = 3.secs
-        const val SETTLED_REPORTS = 1.5
+    companion object {
+        private const val GRANT_PART = 0.33
+        private val LONGEST_GRANT = 8.secs
+        private val SHORTEST_GRANT = 500.millis
+        private const val KEPT_LEASES = 3.0
+        private val PERIOD = 1.secs
+        private val BATCH_STALE = 3.secs
+        private const val SETTLED_REPORTS = 1.5
 
         /** The rest is for users, siblings, direct orders and the services. */
-        const val SOCKETS_FOR_WORKERS = 0.5
-        const val STEP_PART = 100
-        const val TOLERANCE = 1.2
-        const val FEW = 3
+        private const val SOCKETS_FOR_WORKERS = 0.5
+        private const val STEP_PART = 100
+        private const val TOLERANCE = 1.2
+        private const val FEW = 3
+
+        /** How long a relay may answer without hearing from its leader. */
+        fun grant(workers: WorkerFacts) =
+            minOf(workers.leaseS.secs * GRANT_PART, LONGEST_GRANT).coerceAtLeast(SHORTEST_GRANT)
     }
 }
--- a/src/test/kotlin/wardmux/fleet/FleetTest.kt
+++ b/src/test/kotlin/wardmux/fleet/FleetTest.kt
@@ -123,4 +123,36 @@
         assertTrue(answers.take(150).none { "forget" in it })
         assertContains(answers.drop(150).joinToString(), "forget")
     }
+
+    /**
+     * A leader that may not renew leases goes on hearing its workers, whose sessions end and begin
+     * anew. The lease of such a session was then held to be over since the last answered report,
+     * and its task was started once more elsewhere within a second, 680 times on one day.
+     */
+    @Test
+    fun `a session that began unanswered lives for a lease from its beginning`() {
+        val rig = Rig(siblings = listOf("n1"))
+        val first = ByHand(rig, "i-000001")
+        val second = ByHand(rig, "i-000002")
+        rig.run(2.secs)
+        val token = first.token()
+        first.hello(token)
+        rig.outage()
+        repeat(40) {
+            rig.run(1.secs)
+            first.report(token)
+        }
+        first.shift = 3
+        first.report(token)
+        second.report(token)
+        val running = """{"piece":"job-000001/0","try":1,"status":"running"}"""
+        val report =
+            """{"box":"i-000001","endpoint":"10.0.0.9:9","boxkind":"mid","ward":"a","shift":3,""" +
+                """"tick":900,"baton":$token,"pieces":[$running]}"""
+        rig.directOutcome = Outcome.Response(200, report.encodeToByteArray())
+        rig.outageOver()
+        rig.accept(plainJob(1))
+        rig.run(3.secs)
+        assertEquals(1, rig.direct.count { "\"start\"" in it && "job-000001/0" in it })
+    }
 }
--- a/src/test/kotlin/wardmux/sim/Rig.kt
+++ b/src/test/kotlin/wardmux/sim/Rig.kt
@@ -66,6 +66,11 @@
         for (reply in all) reply()
     }
 
+    /** The state service serves nobody, and no lease ends. */
+    fun outage() = state.outage(null)
+
+    fun outageOver() = state.back(null)
+
     /** Requests to the state service that get 503. */
     var refuse: (String) -> Boolean = { false }
 
@@ -235,11 +240,12 @@
 /** A machine of the rig's that reports by hand. */
 class ByHand(private val rig: Rig, private val id: String, private val zone: String = "a") {
     var tick = 0
+    var shift = 1
 
     fun report(token: Long, tasks: String = "", at: Int = ++tick): Pair<Int, String>? {
         val body =
             """{"box":"$id","endpoint":"10.0.0.9:9","boxkind":"mid","ward":"$zone","loaners":""" +
-                """false,"shift":1,"tick":$at,"baton":$token,"pieces":[$tasks]}"""
+                """false,"shift":$shift,"tick":$at,"baton":$token,"pieces":[$tasks]}"""
         return rig.call("POST", "/hello", body.encodeToByteArray())
     }
 
