A session of a mute machine has its own lease; nothing new goes where none is renewed

Cause: a machine that can open no connection to a controller, but is still reached by direct commands, lets its lease run out and begins a new session; the answer to a probe tells the leader so.

Freeing by lease is right, only its beginning was not: a new session runs a full lease unrenewed, and may have begun just before it was first heard of.

Conclusion: the lease counts from the later of the last renewal and the first sign of the session. What is started on a machine that only answers dies with its session, so nothing new goes to one whose lease has not been renewed for as long as makes a silent machine quiet.

The tests bring about meetings of machine troubles with others: mute machines, jobs bound to a zone, a leader's end with machines out of reach, a zone cut off with a controller, held-up starts, and more work than room. The stand-ins learn mute machines and to tell what is on them. The planner's rig sets the renewal of its machines as well as their sign of life, since both are asked.

--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -247,6 +247,8 @@
             machine.recalledAt == null &&
             !(machine.directBusy && desk.now - machine.directSince > UNANSWERED) &&
             desk.now - heardAt < quiet &&
+            // One that only answers gets no lease: what it took would die with its session.
+            desk.now - machine.renewedAt < quiet &&
             desk.now >= machine.pausedUntil
     }
 
--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -144,6 +144,8 @@
             machine.loose.clear()
             machine.endedSince.clear()
             machine.brokenSince = null
+            // Also one that can't report: it may have begun just before it told.
+            machine.sessionAt = desk.now
         }
         machine.endpoint = report.endpoint
         machine.shift = report.shift
--- a/src/main/kotlin/wardmux/fleet/FleetHealth.kt
+++ b/src/main/kotlin/wardmux/fleet/FleetHealth.kt
@@ -78,8 +78,9 @@
      * its lease.
      */
     private fun isLeaseOver(machine: Machine): Boolean {
-        if (desk.now - machine.renewedAt <= leaseOver) return false
-        return desk.now - renewedAtLatest(machine.renewedAt, leaseOver) > leaseOver
+        val from = machine.leaseFrom
+        if (desk.now - from <= leaseOver) return false
+        return desk.now - renewedAtLatest(from, leaseOver) > leaseOver
     }
 
     /**
--- a/src/main/kotlin/wardmux/fleet/Machine.kt
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -17,6 +17,13 @@
     /** When a report of it was last answered; its lease may run from then. */
     var renewedAt = Micros.LONG_AGO
 
+    /** When its present session was first heard of; a session's first lease runs unrenewed. */
+    var sessionAt = Micros.LONG_AGO
+
+    /** Its lease runs from here at the latest. */
+    val leaseFrom: Micros
+        get() = maxOf(renewedAt, sessionAt)
+
     /** When it was first heard of under an older token; perhaps by a copy of an old report. */
     var firstRumourAt: Micros? = null
 
--- a/src/test/kotlin/wardmux/dispatch/PlannerRig.kt
+++ b/src/test/kotlin/wardmux/dispatch/PlannerRig.kt
@@ -35,6 +35,7 @@
         val machine = Machine(MachineId("i-%06d".format(number)), type, "a", spot = true)
         machine.confirmed = true
         machine.heardAt = desk.now
+        machine.renewedAt = desk.now
         cluster.add(machine)
         return machine
     }
--- /dev/null
+++ b/src/test/kotlin/wardmux/sim/MachineMeetingsTest.kt
@@ -0,0 +1,261 @@
+package wardmux.sim
+
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import wardmux.Micros
+import wardmux.app.OperatorSettings
+import wardmux.intake.JobSpec
+import wardmux.intake.Shape
+import wardmux.intake.Urgency
+import wardmux.millis
+import wardmux.secs
+
+/** Two troubles at once, where machines are one of them: each brought about on purpose. */
+class MachineMeetingsTest {
+    private class Meeting(seed: Long) {
+        // Every other day all controllers take reports.
+        val world =
+            World(
+                seed,
+                operators =
+                    if (seed % 2 == 0L) OperatorSettings()
+                    else OperatorSettings(reportsPerCore = 0.0),
+            )
+        val clock = world.clock
+
+        fun at(time: Micros, action: () -> Unit) = clock.after(time - clock.now, action)
+
+        /** A task of it takes most of a machine, and never ends by itself unless it is [short]. */
+        fun large(team: Int, tasks: Int, short: Double = 0.0, oneZone: Boolean = false): JobSpec =
+            world
+                .randomJob()
+                .copy(
+                    team = "team-$team",
+                    shape = if (short > 0) Shape.BATCH else Shape.DAEMON,
+                    urgency = Urgency.NORMAL,
+                    tasks = tasks,
+                    cpus = 9.0,
+                    zone = null,
+                    oneZone = oneZone,
+                    spread = false,
+                    spot = true,
+                    estimateS = short,
+                    checkpointS = 0.0,
+                    saveS = 0.0,
+                )
+
+        /** A job of many short tasks. */
+        fun array(team: Int, tasks: Int, zone: String? = null, oneZone: Boolean = false): JobSpec =
+            large(team, tasks, short = 6.0, oneZone).copy(cpus = 2.0, zone = zone)
+
+        fun workers() = world.cloud.workers()
+
+        fun busy() = workers().filter { it.tasksThere > 0 }
+
+        fun part(a: String, b: String, length: Micros) {
+            world.network.part(a, b)
+            clock.after(length) { world.network.join(a, b) }
+        }
+
+        fun hang(worker: WorkerStandIn, length: Micros) {
+            worker.hanging = true
+            clock.after(length) { worker.hanging = false }
+        }
+
+        fun mute(worker: WorkerStandIn, length: Micros) {
+            world.mute.add(worker.id)
+            clock.after(length) { world.mute.remove(worker.id) }
+        }
+
+        fun holds() {
+            assertEquals(emptyList(), world.problems().distinct().take(4))
+            assertTrue(world.rules.starts > 0, "nothing ran")
+        }
+
+        fun done(vararg jobs: JobSpec) {
+            holds()
+            assertEquals(
+                emptyList(),
+                jobs.map { it.id }.filter { world.rules.finalOf(it) != "done" },
+            )
+        }
+    }
+
+    // (a) Mute machines.
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `mute machines, with cancellations and new starts meanwhile`(seed: Long) {
+        val day = Meeting(seed)
+        val jobs = List(3) { day.large(it, 3) }
+        jobs.forEach { day.world.submit(it) }
+        day.at(30.secs) {
+            val length = day.clock.between(12.secs, 70.secs)
+            for (worker in day.busy()) {
+                if (!day.clock.chance(0.8)) continue
+                day.mute(worker, length)
+                // Nothing new goes where no lease is renewed.
+                day.clock.after(11.secs) {
+                    val before = worker.starts
+                    day.clock.after(length - 11.secs) {
+                        assertEquals(before, worker.starts, "started on a mute machine")
+                    }
+                }
+            }
+            day.clock.after(day.clock.between(0.secs, 20.secs)) { day.world.cancel(jobs[0].id) }
+        }
+        val late = List(3) { day.array(it, 12) }
+        for ((i, job) in late.withIndex()) day.at((33 + 9 * i).secs) { day.world.submit(job) }
+        day.world.run(200.secs)
+        day.done(*late.toTypedArray())
+    }
+
+    // (b) Jobs bound to one zone.
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `jobs bound to one zone lose machines, by death, a hang and a change of leaders`(
+        seed: Long
+    ) {
+        val day = Meeting(seed)
+        val pinned = day.array(0, 20, zone = "b")
+        val together = day.array(1, 24, oneZone = true)
+        val far = day.array(2, 24, oneZone = true)
+        for (job in listOf(pinned, together, far)) day.world.submit(job)
+        day.at(20.secs) {
+            val there = day.workers().shuffled(day.clock.random)
+            for (worker in there.take(there.size / 2)) {
+                if (day.clock.chance(0.5)) day.world.cloud.kill(worker)
+                else day.hang(worker, day.clock.between(3.secs, 30.secs))
+            }
+            day.clock.after(day.clock.between(0.secs, 6.secs)) {
+                day.world.leader()?.let { day.world.crash(it, 2.secs) }
+            }
+        }
+        day.at(45.secs) { day.busy().take(2).forEach { day.world.cloud.kill(it) } }
+        day.world.run(220.secs)
+        day.done(pinned, together, far)
+    }
+
+    // (c) A leader ends while machines with long tasks are out of reach.
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `a leader ends while machines can't be reached or don't hear the next one`(seed: Long) {
+        val day = Meeting(seed)
+        val jobs = List(3) { day.large(it, 4) }
+        jobs.forEach { day.world.submit(it) }
+        day.at(30.secs) {
+            val length = day.clock.between(5.secs, 60.secs)
+            for (worker in day.busy()) {
+                when (day.clock.random.nextInt(3)) {
+                    0 -> for (node in day.world.nodes) day.part(node, worker.id, length)
+                    1 -> {
+                        day.world.network.cut(worker.id)
+                        day.clock.after(length) { day.world.network.mend(worker.id) }
+                    }
+                }
+            }
+            day.world.leader()?.let { day.world.crash(it, day.clock.between(1.secs, 9.secs)) }
+            day.clock.after(day.clock.between(0.secs, 12.secs)) { day.world.cancel(jobs[1].id) }
+        }
+        val late = List(3) { day.array(it, 10) }
+        day.at(40.secs) { for (job in late) day.world.submit(job) }
+        day.world.run(210.secs)
+        day.done(*late.toTypedArray())
+    }
+
+    // (d) A zone is cut off with a controller in it.
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `a zone with workers and a controller is cut off for longer than a lease`(seed: Long) {
+        val day = Meeting(seed)
+        val jobs = List(3) { day.large(it, 4) }
+        jobs.forEach { day.world.submit(it) }
+        day.at(30.secs) {
+            val length = day.clock.between(17.secs, 60.secs)
+            val leader = day.world.leader()
+            // The leader is inside, or one of the others.
+            val node = day.world.nodes.first { (it == leader) == (seed % 3 != 0L) }
+            val inside = day.workers().filter { it.zone == "a" }.map { it.id } + node
+            val outside =
+                day.workers().filter { it.zone != "a" }.map { it.id } +
+                    (day.world.nodes - node) +
+                    listOf("state", "cloud", "user")
+            for (a in inside) for (b in outside) {
+                day.part(a, b, length)
+                day.part(b, a, length)
+            }
+            day.clock.after(day.clock.between(0.secs, 9.secs)) { day.world.cancel(jobs[2].id) }
+        }
+        val late = List(3) { day.array(it, 10) }
+        day.at(36.secs) { for (job in late) day.world.submit(job) }
+        day.world.run(210.secs)
+        day.done(*late.toTypedArray())
+    }
+
+    // (e) Held-up commands and answers.
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `starts reach a hanging machine, their job is cancelled, and it goes on`(seed: Long) {
+        val day = Meeting(seed)
+        val first = List(3) { day.large(it, 1) }
+        first.forEach { day.world.submit(it) }
+        val cancelled = List(3) { day.array(it, 12).copy(estimateS = 400.0) }
+        val kept = List(3) { day.array(it, 8) }
+        day.at(25.secs) {
+            for (job in cancelled) day.world.submit(job)
+            // While these starts go out.
+            day.clock.after(day.clock.between(20.millis, 900.millis)) {
+                for (worker in day.workers()) {
+                    val length = day.clock.between(1.secs, 15.secs)
+                    if (day.clock.chance(0.4)) day.hang(worker, length)
+                    else if (day.clock.chance(0.3)) {
+                        // The order arrives, its answer comes too late.
+                        for (node in day.world.nodes) day.part(worker.id, node, length)
+                    }
+                }
+            }
+            day.clock.after(day.clock.between(0.secs, 6.secs)) {
+                for (job in cancelled) day.world.cancel(job.id)
+            }
+        }
+        day.at(32.secs) { for (job in kept) day.world.submit(job) }
+        day.world.run(200.secs)
+        day.done(*kept.toTypedArray())
+    }
+
+    // (f) More work than room.
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `more work than room, urgent and not, over slow links`(seed: Long) {
+        val day = Meeting(seed)
+        val world = day.world
+        val hosts = world.nodes + "state" + "cloud"
+        val jobs = ArrayList<JobSpec>()
+        for (second in 2..60 step 3) day.at(second.secs) {
+            val urgent = day.clock.chance(0.5)
+            val team = day.clock.random.nextInt(3)
+            val job =
+                if (urgent) day.array(team, 15).copy(urgency = Urgency.HIGH)
+                else day.large(team, 2, short = 20.0).copy(checkpointS = 3.0, saveS = 2.0)
+            jobs.add(job)
+            world.submit(job)
+        }
+        day.at(10.secs) {
+            for (host in hosts) world.network.slow[host] = day.clock.between(50.millis, 400.millis)
+            for (w in day.workers()) {
+                world.network.slow[w.id] = day.clock.between(50.millis, 900.millis)
+            }
+        }
+        day.at(70.secs) { world.network.slow.clear() }
+        world.run(330.secs)
+        world.endOfDay(calm = 70.secs)
+        day.done(*jobs.toTypedArray())
+    }
+}
--- a/src/test/kotlin/wardmux/sim/WorkerStandIn.kt
+++ b/src/test/kotlin/wardmux/sim/WorkerStandIn.kt
@@ -45,6 +45,15 @@
 
     private val tasks = LinkedHashMap<Pair<String, Int>, Task>()
     private val results = HashSet<String>()
+
+    /** Tasks that have not ended. */
+    val tasksThere: Int
+        get() = tasks.values.count { it.status != "ended" }
+
+    /** Tasks that began to run here. */
+    var starts = 0
+        private set
+
     private var shift = 1L
     private var tick = 0L
     private var token = 0L
@@ -226,6 +235,7 @@
         if (task.name in results) return end(task, "done", false)
         task.status = "running"
         changed = true
+        starts++
         rules.started(clock.now, task.job, task.index, id, type, zone, spot)
         if (sick) return clock.after(1.secs) { if (present(task)) end(task, "error", false) }
         if (spec.estimateS > 0) {
--- a/src/test/kotlin/wardmux/sim/World.kt
+++ b/src/test/kotlin/wardmux/sim/World.kt
@@ -197,17 +197,22 @@
         process.feed(Input.Call(id, port, method, path, body))
     }
 
-    private fun worker(id: String, type: String, zone: String, spot: Boolean): WorkerStandIn {
-        val send: Report = { node, body, answer ->
-            network.copy {
-                call(node, Port.API, "POST", "/hello", body.encodeToByteArray()) { _, _ -> }
-            }
-            network.send(id, node) {
-                call(node, Port.API, "POST", "/hello", body.encodeToByteArray()) { status, text ->
-                    network.send(node, id) { answer(status, text) }
-                }
+    /** Machines that can open connections to no controller; direct commands still reach them. */
+    val mute = HashSet<String>()
+
+    private fun hello(id: String, node: String, body: String, answer: (Int, String) -> Unit) {
+        network.copy {
+            call(node, Port.API, "POST", "/hello", body.encodeToByteArray()) { _, _ -> }
+        }
+        network.send(id, node) {
+            call(node, Port.API, "POST", "/hello", body.encodeToByteArray()) { status, text ->
+                network.send(node, id) { answer(status, text) }
             }
         }
+    }
+
+    private fun worker(id: String, type: String, zone: String, spot: Boolean): WorkerStandIn {
+        val send: Report = { node, body, answer -> if (id !in mute) hello(id, node, body, answer) }
         val worker =
             WorkerStandIn(
                 id,
