What was cancelled on machines that hang is deleted, also across a change of leaders

Cause: many machines hang at once with tasks of jobs that are cancelled then. Their number keeps a leader from giving them up before two leases; after one it frees their placements, and with these goes all that a later leader knows of them.

Ruled out: halts that are not sent again (the machines execute nothing) and the cloud (it is up, and deletes at once).

Conclusion: a machine that was silent for its whole lease and holds something of a cancelled job is given up when the lease is over; all work on it is lost by then, and the record of it outlasts the leader. A new leader gives up one that holds such a task once every worker that is able to has had the time to find it, counted from when what is stored was read.

Not mended: a successor does not know when the cancellation was, as the record does not say it. A leader that ends just before the lease is over leaves a successor a few seconds less than it needs.

The meeting of jobs bound to a zone has more work than fits at once, so that some of it waits while the rest is out: only so it can show a wrong zone.

--- a/src/main/kotlin/wardmux/dispatch/Cluster.kt
+++ b/src/main/kotlin/wardmux/dispatch/Cluster.kt
@@ -99,6 +99,9 @@
     /** Machines that records name and that nothing else has told of. */
     fun unheardOf(): Set<MachineId> = unplaced.keys
 
+    fun holdsCancelled(id: MachineId) =
+        unplaced[id].orEmpty().any { it.job.over && !it.job.finished }
+
     /** Something happened that may let a waiting task start. */
     fun changed() {
         changes++
--- a/src/main/kotlin/wardmux/fleet/FleetHealth.kt
+++ b/src/main/kotlin/wardmux/fleet/FleetHealth.kt
@@ -1,6 +1,7 @@
 package wardmux.fleet
 
 import wardmux.Desk
+import wardmux.MachineId
 import wardmux.Micros
 import wardmux.app.OperatorSettings
 import wardmux.app.WorkerFacts
@@ -34,10 +35,14 @@
         workers.leaseS.secs * (1 + Leadership.DRIFT) + operators.leaseMarginS.secs
     private var watchAt = Micros.LONG_AGO
 
+    /** Since when workers could be heard: all that is stored has been read. */
+    private var watchedSince: Micros? = null
+
     /** Notices machines that fell silent, or that orders do not reach. */
     fun watch() {
         if (desk.now < watchAt) return
         watchAt = desk.now + WATCH_PERIOD
+        if (watchedSince == null) watchedSince = desk.now
         val up = up()
         val silent = ArrayList<Machine>()
         val unreachable = ArrayList<Machine>()
@@ -46,6 +51,9 @@
             val silence = desk.now - (machine.heardAt ?: continue)
             if (!machine.empty && isLeaseOver(machine)) {
                 log.info("the lease of {} is over", machine.id)
+                // Should it hang, what was cancelled goes when it is deleted. A later leader would
+                // not know of it any more.
+                if (silence > leaseOver && machine.holdsCancelled) condemn(machine, "lease over")
                 cluster.clear(machine, "lease over")
             }
             // Past its notice and quiet: taken. Deleting it proves that, sooner than waiting does.
@@ -130,6 +138,14 @@
         val unheard =
             cluster.machines.values.filter { !it.up && !it.condemned && it.placements.isNotEmpty() }
         val unknown = cluster.unheardOf().toList()
+        // How long ago the cancellation was is not known, so these get one report's time.
+        val since = watchedSince ?: desk.now
+        if (desk.now - since >= REPORT_TIME + askAfter) {
+            for (machine in unheard) {
+                if (machine.holdsCancelled) condemn(machine, "cancelled tasks, never reported")
+            }
+            for (id in unknown) if (cluster.holdsCancelled(id)) condemnUnknown(id)
+        }
         // Where most machines have found this leader, it is not for it that the rest are silent.
         // Not
         // before a lease is over: one that is back by then is worth more than its tasks' time.
@@ -138,11 +154,14 @@
         val due = if (few) maxOf(workers.leaseS.secs, lostAfter) + REPORT_TIME else patience
         if (desk.now - electedAt < due) return
         for (machine in unheard) condemn(machine, "never reported to this leader")
-        for (id in unknown) {
-            val type = types.types?.firstOrNull() ?: return
-            val machine = fleet.machine(id, type.label, "", false) ?: continue
-            condemn(machine, "never reported to this leader")
-        }
+        for (id in unknown) condemnUnknown(id)
+    }
+
+    /** One that only records tell of. */
+    private fun condemnUnknown(id: MachineId) {
+        val type = types.types?.firstOrNull() ?: return
+        val machine = fleet.machine(id, type.label, "", false) ?: return
+        condemn(machine, "never reported to this leader")
     }
 
     /** So many machines do not fall silent within one report of each other. */
--- a/src/main/kotlin/wardmux/fleet/Machine.kt
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -122,6 +122,10 @@
     val empty: Boolean
         get() = placements.isEmpty() && strays.isEmpty()
 
+    /** Something of a cancelled job may be here. */
+    val holdsCancelled: Boolean
+        get() = placements.values.any { it.job.over && !it.job.finished }
+
     /** The larger of the booked shares of CPU, GPU and memory. */
     val load: Double
         get() =
--- a/src/test/kotlin/wardmux/sim/MachineMeetingsTest.kt
+++ b/src/test/kotlin/wardmux/sim/MachineMeetingsTest.kt
@@ -112,6 +112,27 @@
         day.done(*late.toTypedArray())
     }
 
+    // Tasks of cancelled jobs.
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4, 6])
+    fun `cancelled on machines that hang, many at once, while the leader changes`(seed: Long) {
+        val day = Meeting(seed)
+        val jobs = List(3) { day.large(it, 4) }
+        jobs.forEach { day.world.submit(it) }
+        day.at(30.secs) {
+            val busy = day.busy()
+            assertTrue(busy.size >= 6, "only ${busy.size} are busy")
+            for (worker in busy.drop((seed % 3).toInt() * 3)) day.hang(worker, 90.secs)
+            for (job in jobs) day.world.cancel(job.id)
+            day.clock.after(day.clock.between(1.secs, 25.secs)) {
+                day.world.leader()?.let { day.world.crash(it, 3.secs) }
+            }
+        }
+        day.world.run(150.secs)
+        day.holds()
+    }
+
     // (b) Jobs bound to one zone.
 
     @ParameterizedTest
@@ -120,9 +141,10 @@
         seed: Long
     ) {
         val day = Meeting(seed)
-        val pinned = day.array(0, 20, zone = "b")
-        val together = day.array(1, 24, oneZone = true)
-        val far = day.array(2, 24, oneZone = true)
+        // More than its team may have at once, so that some wait while others are out.
+        val pinned = day.array(0, 40, zone = "b").copy(estimateS = 20.0)
+        val together = day.array(1, 40, oneZone = true).copy(estimateS = 20.0)
+        val far = day.array(2, 40, oneZone = true).copy(estimateS = 20.0)
         for (job in listOf(pinned, together, far)) day.world.submit(job)
         day.at(20.secs) {
             val there = day.workers().shuffled(day.clock.random)
