--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -177,8 +177,9 @@
             machine.loose.clear()
             machine.endedSince.clear()
             machine.brokenSince = null
-            // It lives for a lease from its beginning, whoever answered the one before.
-            machine.renewedAt = maxOf(machine.renewedAt, desk.now)
+            // It lives for a lease from its beginning, whoever answered the one before; also that
+            // of a machine that can't report.
+            machine.sessionAt = desk.now
         }
         machine.endpoint = report.endpoint
         machine.shift = report.shift
@@ -186,6 +187,8 @@
         if (report.token == token.value) {
             if (!machine.confirmed) {
                 log.info("{} is up", machine.id)
+                // Until it took this token, an earlier leader may have renewed its lease.
+                machine.sessionAt = desk.now
                 cluster.due.add(machine)
                 cluster.changed()
             }
--- a/src/main/kotlin/wardmux/fleet/Machine.kt
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -14,9 +14,19 @@
     /** When its last report under this leader's token came that was no copy: a sign of life. */
     var heardAt: Micros? = null
 
-    /** When a report of it was last answered, or its session first seen: its lease may run on. */
+    /** When a report of it was last answered; its lease may run from then. */
     var renewedAt = Micros.LONG_AGO
 
+    /**
+     * When its present session was first heard of, or took this leader's token: a session's first
+     * lease runs unrenewed, and until then others may have renewed it.
+     */
+    var sessionAt = Micros.LONG_AGO
+
+    /** Its lease runs from here at the latest. */
+    val leaseFrom: Micros
+        get() = maxOf(renewedAt, sessionAt)
+
     /** When it was first heard of under an older token; perhaps by a copy of an old report. */
     var firstRumourAt: Micros? = null
 
@@ -115,6 +125,10 @@
     val empty: Boolean
         get() = placements.isEmpty() && strays.isEmpty()
 
+    /** Something of a cancelled job may be here. */
+    val holdsCancelled: Boolean
+        get() = placements.values.any { it.job.over && !it.job.finished }
+
     /** The larger of the booked shares of CPU, GPU and memory. */
     val load: Double
         get() =
