--- a/src/test/kotlin/wardmux/sim/Rules.kt
+++ b/src/test/kotlin/wardmux/sim/Rules.kt
@@ -183,6 +183,13 @@
 
     fun allDone(job: String): Boolean = (completed[job]?.size ?: 0) == specs.getValue(job).tasks
 
+    /** Which machine each task of [job] is on. */
+    fun placesOf(job: String): Map<Int, String> =
+        on[job].orEmpty().mapValues { it.value.machine }
+
+    /** When a user was first told that [job] is cancelled. */
+    fun cancelledAt(job: String): Micros? = toldCancelledAt[job]
+
     fun finalOf(job: String): String? = told[job]?.final
 
     companion object {
--- a/src/test/kotlin/wardmux/sim/StateStandIn.kt
+++ b/src/test/kotlin/wardmux/sim/StateStandIn.kt
@@ -28,7 +28,12 @@
 
     private class Change(val revision: Long, val key: String, val data: JsonElement?)
 
-    private class Watch(val prefix: String, val from: Long, val answer: (Int, String) -> Unit) {
+    private class Watch(
+        val member: String,
+        val prefix: String,
+        val from: Long,
+        val answer: (Int, String) -> Unit,
+    ) {
         var open = true
     }
 
@@ -47,8 +52,15 @@
         clock.every(50.millis) { expire() }
     }
 
-    fun outage(member: String?) {
+    /** If [endsWatches], what the member watches tells it nothing more either. */
+    fun outage(member: String?, endsWatches: Boolean = false) {
         refused.add(member)
+        if (!endsWatches) return
+        for (watch in watches.filter { member == null || it.member == member }) {
+            watch.open = false
+            watches.remove(watch)
+            watch.answer(503, "{}")
+        }
     }
 
     fun back(member: String?) {
@@ -59,6 +71,8 @@
 
     fun value(key: String): JsonElement? = keys[key]?.data
 
+    fun stamp(key: String): Long? = keys[key]?.stamp
+
     private fun expire() {
         if (null in refused) return
         val over = leases.filterValues { it.until < clock.now }.keys
@@ -97,7 +111,7 @@
             route == "/keys" -> page(query, answer)
             route.startsWith("/keys/") -> get(route.removePrefix("/keys/"), answer)
             route == "/multi" -> multi(Json.parseToJsonElement(body).jsonObject, answer)
-            route == "/watch" -> watch(query, answer)
+            route == "/watch" -> watch(from, query, answer)
             route == "/leases" -> {
                 val life =
                     Json.parseToJsonElement(body).jsonObject.getValue("life_ms").jsonPrimitive.int
@@ -189,13 +203,13 @@
 
     private fun JsonObject.text(name: String) = getValue(name).jsonPrimitive.content
 
-    private fun watch(query: Map<String, String>, answer: (Int, String) -> Unit) {
+    private fun watch(member: String, query: Map<String, String>, answer: (Int, String) -> Unit) {
         val from = query.getValue("from").toLong()
         // Few changes are kept, so that 410 is tried too.
         if (changes.size > KEPT && changes[changes.size - KEPT].revision > from) {
             return answer(410, "{}")
         }
-        val watch = Watch(query.getValue("under"), from, answer)
+        val watch = Watch(member, query.getValue("under"), from, answer)
         watches.add(watch)
         val block = query["block_ms"]?.toInt() ?: 0
         clock.after(block.millis) { close(watch) }
--- a/src/test/kotlin/wardmux/sim/World.kt
+++ b/src/test/kotlin/wardmux/sim/World.kt
@@ -57,6 +57,9 @@
     val cloud = CloudStandIn(clock, zones, capacity = 3, ::worker)
     private val workers = HashMap<String, WorkerStandIn>()
     private val running = HashMap<String, Process>()
+
+    /** By machine: how long direct orders are held up on their way to it. */
+    val lateOrders = HashMap<String, Micros>()
     private var boots = 0L
     private var calls = 0L
     var accepted = 0
@@ -141,8 +144,12 @@
             when (val target = effect.target) {
                 is Target.State -> state.handle(member, effect.method, effect.path, body, back)
                 is Target.Cloud -> cloud.handle(effect.method, effect.path, body, back)
-                is Target.Worker ->
-                    deliver(workers[target.address.substringBefore(':')], effect.path, body, back)
+                is Target.Worker -> {
+                    val host = hostOf(target)
+                    val late = lateOrders[host]?.takeIf { effect.path != "/status" }
+                    if (late == null) deliver(workers[host], effect.path, body, back)
+                    else clock.after(late) { deliver(workers[host], effect.path, body, back) }
+                }
                 is Target.Sibling ->
                     call(target.member, Port.PEER, effect.method, effect.path, effect.body, back)
             }
@@ -260,6 +267,7 @@
         method: String,
         path: String,
         body: ByteArray,
+        by: String? = null,
         then: (status: Int?, text: String) -> Unit,
     ) {
         var over = false
@@ -267,7 +275,7 @@
             if (!over) then(null, "")
             over = true
         }
-        val node = nodes[clock.random.nextInt(nodes.size)]
+        val node = by ?: nodes[clock.random.nextInt(nodes.size)]
         network.send("user", node) {
             call(node, Port.API, method, path, body) { status, text ->
                 network.send(node, "user") {
@@ -316,12 +324,13 @@
         }
     }
 
-    fun cancel(job: String) {
+    /** Through the controller [by], or any. */
+    fun cancel(job: String, by: String? = null) {
         rules.askedToCancel(job)
         val askedAt = clock.now
-        ask("POST", "/submissions/$job/abort", ByteArray(0)) { status, text ->
+        ask("POST", "/submissions/$job/abort", ByteArray(0), by) { status, text ->
             if (status != null) rules.told(clock.now, job, "abort", status, stateIn(text), askedAt)
-            if (status != 200) clock.after(1.secs) { cancel(job) }
+            if (status != 200) clock.after(1.secs) { cancel(job, by) }
         }
     }
 
