--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -136,6 +136,8 @@
 
     private fun note(machine: Machine, report: Report, at: Micros) {
         if (report.shift > machine.shift) {
+            // Its lease runs from its beginning, though perhaps no report of it was answered yet.
+            machine.renewedAt = maxOf(machine.renewedAt, desk.now)
             // A new session begins with nothing on the machine; its images stay.
             for (placement in machine.placements.values.toList()) {
                 if (placement.shift < report.shift) cluster.release(placement, "session over")
@@ -151,6 +153,8 @@
         if (report.token == token.value) {
             if (!machine.confirmed) {
                 log.info("{} is up", machine.id)
+                // Until it took this token, an earlier leader may have renewed its lease.
+                machine.renewedAt = maxOf(machine.renewedAt, desk.now)
                 cluster.due.add(machine)
                 cluster.changed()
             }
--- a/src/test/kotlin/wardmux/sim/Clockwork.kt
+++ b/src/test/kotlin/wardmux/sim/Clockwork.kt
@@ -54,6 +54,12 @@
     /** Part of the messages of which a copy arrives once more, long after. */
     var copies = 0.0
 
+    /** Part of the workers' reports of which a copy arrives again, up to long after their lease. */
+    var lateReports = 0.0
+
+    /** Machines that open no connection to any controller; direct orders still reach them. */
+    val mute = HashSet<String>()
+
     /** What messages to a host take longer. */
     val slow = HashMap<String, Micros>()
 
@@ -89,6 +95,13 @@
         }
     }
 
+    /** A report, from 2 s to well over a lease later; nobody hears the answer. */
+    fun reportAgain(action: () -> Unit) {
+        if (lateReports > 0 && clock.chance(lateReports)) {
+            clock.after(clock.between(2_000.millis, 45_000.millis), action)
+        }
+    }
+
     fun delay(): Micros = clock.between(1.millis, 8.millis)
 
     fun send(from: String, to: String, action: () -> Unit) {
--- a/src/test/kotlin/wardmux/sim/RandomDaysTest.kt
+++ b/src/test/kotlin/wardmux/sim/RandomDaysTest.kt
@@ -16,6 +16,7 @@
         seed: Long,
         private val grown: Boolean = false,
         private val fleet: Boolean = false,
+        private val hunted: Boolean = false,
         operators: OperatorSettings = OperatorSettings(),
     ) {
         val world = World(seed, operators = operators)
@@ -131,6 +132,58 @@
                 },
             )
 
+        /** Those that came with the hunts: cancellations and old messages that meet the others. */
+        private val huntTroubles: List<() -> Unit> =
+            listOf(
+                {
+                    world.state.lateWrites = 0.3
+                    clock.after(clock.between(5.secs, 25.secs)) { world.state.lateWrites = 0.0 }
+                },
+                {
+                    world.network.lateReports = 0.3
+                    clock.after(clock.between(10.secs, 40.secs)) { world.network.lateReports = 0.0 }
+                },
+                { for (worker in someWorkers(4)) mute(worker.id, clock.between(5.secs, 50.secs)) },
+                { deafZone(clock.between(5.secs, 40.secs)) },
+                { world.cancelNow(1 + clock.random.nextInt(6), Micros.ZERO) },
+                { world.cancelNow(6, clock.between(2.secs, 30.secs)) },
+                {
+                    world.cancelAtEnd = 0.5
+                    clock.after(30.secs) { world.cancelAtEnd = 0.0 }
+                },
+                { for (i in 1..25) clock.after((i * 1_300).millis) { world.oddRequest() } },
+                {
+                    // The leader is cut off, and jobs are cancelled through the next one.
+                    world.leader()?.let { alone(it, clock.between(8.secs, 50.secs)) }
+                    clock.after(clock.between(1.secs, 12.secs)) { world.cancelNow(6, Micros.ZERO) }
+                },
+                { gap(clock.between(5.secs, 40.secs)) },
+                { gap(clock.between(40.secs, 70.secs)) },
+                {
+                    // A leader ends while it does not hear some of its machines.
+                    for (worker in someWorkers(4)) mute(worker.id, clock.between(5.secs, 40.secs))
+                    world.leader()?.let { world.crash(it, clock.between(100.millis, 6.secs)) }
+                },
+            )
+
+        /** The state service refuses the leader alone, jobs are cancelled, then it refuses all. */
+        private fun gap(length: Micros) {
+            val alone = clock.between(1.secs, 14.secs)
+            world.leader()?.let { outage(it, alone + 3.secs) }
+            clock.after(clock.between(Micros.ZERO, alone)) { world.cancelNow(6, Micros.ZERO) }
+            clock.after(alone) { outage(null, length) }
+        }
+
+        private fun mute(worker: String, length: Micros) {
+            world.network.mute.add(worker)
+            clock.after(length) { world.network.mute.remove(worker) }
+        }
+
+        private fun deafZone(length: Micros) {
+            val zone = listOf("a", "b", "c").random(clock.random)
+            for (worker in world.cloud.workers().filter { it.zone == zone }) deaf(worker.id, length)
+        }
+
         private fun part(from: String, to: String, length: Micros) {
             world.network.part(from, to)
             clock.after(length) { world.network.join(from, to) }
@@ -179,7 +232,10 @@
         }
 
         private fun submit() {
-            val spec = world.randomJob()
+            val usual = world.randomJob()
+            // Some have long to go, for those who call them off.
+            val long = hunted && usual.estimateS > 0 && usual.tasks <= 12 && clock.chance(0.3)
+            val spec = if (long) usual.copy(estimateS = 120.0) else usual
             jobs.add(spec.id)
             world.submit(spec)
             val daemon = spec.estimateS == 0.0
@@ -197,14 +253,21 @@
                     clock.after(at.secs) { trouble() }
                 }
             }
+            if (hunted) {
+                world.state.refusedWatchesWait = true
+                clock.after(CALM) { world.watchWaiting() }
+            }
             world.run(if (grown) 420.secs else 320.secs)
-            // The longest trouble lasts for 60 s, and late messages come up to 45 s after that.
-            if (grown) world.endOfDay(calm = 285.secs)
+            if (grown) world.endOfDay(CALM)
         }
 
         private fun trouble() {
             val all =
                 when {
+                    hunted -> {
+                        val new = huntTroubles + huntTroubles + huntTroubles
+                        troubles + newTroubles + fleetTroubles + new
+                    }
                     fleet -> troubles + newTroubles + fleetTroubles + fleetTroubles + fleetTroubles
                     grown -> troubles + newTroubles + newTroubles
                     else -> troubles
@@ -250,6 +313,23 @@
         assertTrue(day.world.rules.starts > 0, "nothing ran")
     }
 
+    @ParameterizedTest
+    @MethodSource("huntedSeeds")
+    fun `nor with late writes, old reports, cancellations and odd requests`(seed: Long) =
+        hunted(seed, OperatorSettings())
+
+    @ParameterizedTest
+    @MethodSource("huntedSeeds")
+    fun `nor with them where all controllers take reports`(seed: Long) =
+        hunted(seed, OperatorSettings(reportsPerCore = 0.0))
+
+    private fun hunted(seed: Long, operators: OperatorSettings) {
+        val day = Day(seed, grown = true, hunted = true, operators = operators)
+        day.play(troubled = true)
+        assertEquals(emptyList(), day.world.problems())
+        assertTrue(day.world.rules.starts > 0, "nothing ran")
+    }
+
     @Test
     fun `on a quiet day every job comes to its end`() {
         val day = Day(100)
@@ -260,6 +340,9 @@
     }
 
     companion object {
+        /** The longest trouble lasts for 78 s, and late messages come up to 45 s after theirs. */
+        private val CALM = 285.secs
+
         /** Others for a longer search: `-DargLine="-Dwardmux.days=100-500"`. */
         @JvmStatic fun seeds(): List<Long> = days("wardmux.days", "1-24") + FOUND
 
@@ -272,6 +355,9 @@
         /** Likewise: `-Dwardmux.frozen=100-500`. */
         @JvmStatic fun frozenSeeds(): List<Long> = days("wardmux.frozen", "1-24")
 
+        /** Likewise: `-Dwardmux.hunted=100-500`. */
+        @JvmStatic fun huntedSeeds(): List<Long> = days("wardmux.hunted", "1-24")
+
         private fun days(property: String, usual: String): List<Long> {
             val range = (System.getProperty(property) ?: usual).split('-')
             return (range.first().toLong()..range.last().toLong()).toList()
--- a/src/test/kotlin/wardmux/sim/Rules.kt
+++ b/src/test/kotlin/wardmux/sim/Rules.kt
@@ -4,8 +4,19 @@
 import wardmux.Micros
 import wardmux.app.TeamFacts
 import wardmux.intake.JobSpec
+import wardmux.intake.Shape
 import wardmux.secs
 
+/** A machine as it is: what is free on it, and the tasks (job and number) that it holds. */
+class MachineView(
+    val id: String,
+    val type: String,
+    val zone: String,
+    val spot: Boolean,
+    val freeCpus: Double,
+    val tasks: List<Pair<String, Int>>,
+)
+
 /** The rules at the end of PROTOCOL, as they look from outside the controllers. */
 class Rules(teams: List<TeamFacts>, private val cancelTime: Micros) {
     private class On(val machine: String, val zone: String)
@@ -15,6 +26,9 @@
         var finalAt = Micros.ZERO
         var acceptedAt: Micros? = null
         var answeredAt = Micros.ZERO
+
+        /** Spells without an answer that were too long, if no trouble excuses them. */
+        val silent = ArrayList<Pair<Micros, Micros>>()
     }
 
     private val teams = teams.associateBy { it.name }
@@ -28,6 +42,13 @@
     var starts = 0
         private set
 
+    /** Starts that were on their way when their user was told of the cancellation. */
+    var startsAfterCancel = 0
+        private set
+
+    /** Called when the last task of a job that nobody called off has ended. */
+    var whenAllDone: (String) -> Unit = {}
+
     fun submitted(spec: JobSpec) {
         specs[spec.id] = spec
     }
@@ -52,6 +73,7 @@
     ) {
         starts++
         begun.add(job)
+        roomSince.keys.removeIf { it.first == job }
         val spec =
             specs[job] ?: return breaks("invented", "$job/$task runs and nobody submitted it")
         val own = on.getOrPut(job) { HashMap() }
@@ -66,6 +88,7 @@
             breaks("wrong_place", "too much of $job in $zone")
         }
         val cancelled = toldCancelledAt[job]
+        if (cancelled != null) startsAfterCancel++
         if (cancelled != null && now - cancelled > cancelTime)
             breaks("ran_cancelled", "$job starts")
         own[task] = On(machine, zone)
@@ -88,11 +111,105 @@
             .map { (job, own) -> job + own.map { "/${it.key}@${it.value.machine}" } }
 
     fun ended(job: String, task: Int, machine: String, done: Boolean) {
-        if (done) completed.getOrPut(job) { HashSet() }.add(task)
-        val own = on[job] ?: return
-        if (own[task]?.machine == machine) own.remove(task)
+        val first = done && completed.getOrPut(job) { HashSet() }.add(task)
+        on[job]?.let { if (it[task]?.machine == machine) it.remove(task) }
+        if (first && job in specs && job !in askedToCancel && allDone(job)) whenAllDone(job)
     }
 
+    val knowsCancelled: Boolean
+        get() = toldCancelledAt.isNotEmpty()
+
+    /** A controller sends an order to start: none may be sent once the user was told cancelled. */
+    fun ordered(now: Micros, job: String, order: String) {
+        val cancelled = toldCancelledAt[job] ?: return
+        if (now > cancelled) {
+            breaks("started_cancelled", "$order, ${(now - cancelled).seconds} s after it was told")
+        }
+    }
+
+    /** What a job gets that can't run or lacks a field; anything but 2xx and 4xx may be retried. */
+    fun answeredBad(job: String, expected: Int, status: Int, body: String) {
+        if (status in 200..299) breaks("accepted_bad", "$job, $status for $body")
+        else if (status != expected && status in 400..499 && status != 429)
+            breaks("wrong_answer", "$job, $status for $body")
+    }
+
+    /** The answer to a submission again: 200 with the state now, if its user was told before. */
+    fun repeated(now: Micros, job: String, status: Int, state: String?, askedAt: Micros) {
+        val known = told[job]?.acceptedAt?.let { it <= askedAt } == true
+        told(now, job, "POST", status, state, askedAt)
+        if (known && status == 201) breaks("wrong_answer", "$job is accepted once more")
+        if (status == 200 && state !in states) breaks("wrong_answer", "$job is $state")
+    }
+
+    fun runningUncancelled(): List<String> =
+        on.filter { it.value.isNotEmpty() && it.key !in askedToCancel }.keys.sorted()
+
+    fun machinesOf(job: String): List<String> =
+        on[job].orEmpty().toSortedMap().values.map { it.machine }
+
+    private fun accepted(over: Boolean) =
+        told
+            .filter { it.value.acceptedAt != null && (it.value.final != null) == over }
+            .keys
+            .filter { it in specs }
+            .sorted()
+
+    fun open(): List<String> = accepted(over = false)
+
+    fun over(): List<String> = accepted(over = true)
+
+    /** Since when a machine has had room for a waiting job, with no task of it started. */
+    private val roomSince = HashMap<Pair<String, String>, Micros>()
+
+    /**
+     * Called about once a second while there are no troubles, with the machines that are well and
+     * with all there are.
+     */
+    fun rooms(now: Micros, well: List<MachineView>, all: List<MachineView>) {
+        val used = HashMap<String, Double>()
+        val held = HashMap<String, MutableList<Pair<Int, String>>>()
+        for (machine in all) for ((job, task) in machine.tasks) {
+            val spec = specs[job] ?: continue
+            used.merge(spec.team, spec.cpus, Double::plus)
+            held.getOrPut(job) { ArrayList() }.add(task to machine.zone)
+        }
+        val open = HashSet<Pair<String, String>>()
+        for (job in open()) {
+            if (job in askedToCancel) continue
+            val spec = specs.getValue(job)
+            val own = held[job].orEmpty()
+            val waiting =
+                (0 until spec.tasks) - own.map { it.first }.toSet() - completed[job].orEmpty()
+            if (waiting.isEmpty()) continue
+            // A group and a service need room for all that waits of them.
+            val need = spec.cpus * if (spec.shape == Shape.BATCH) 1 else waiting.size
+            val limit = teams[spec.team]?.cpusMax ?: 0.0
+            if ((used[spec.team] ?: 0.0) + need > limit + 1e-6) continue
+            for (machine in well) if (fits(spec, machine, own, need)) open.add(job to machine.id)
+        }
+        roomSince.keys.retainAll(open)
+        for (pair in open) {
+            val since = roomSince.getOrPut(pair) { now }
+            if (now - since <= LONGEST_BESIDE_ROOM) continue
+            breaks("left_waiting", "${pair.first} beside ${pair.second} since $since")
+            roomSince[pair] = now
+        }
+    }
+
+    private fun fits(
+        spec: JobSpec,
+        machine: MachineView,
+        own: List<Pair<Int, String>>,
+        need: Double,
+    ): Boolean =
+        machine.freeCpus + 1e-6 >= need &&
+            (spec.types == null || machine.type in spec.types) &&
+            (spec.zone == null || machine.zone == spec.zone) &&
+            (spec.spot || !machine.spot) &&
+            (!spec.oneZone || own.all { it.second == machine.zone }) &&
+            (!spec.spread || own.count { it.second == machine.zone } < spec.zoneLimit)
+
     /** Between events: what has been on a machine for too long. */
     fun check(now: Micros) {
         for ((job, at) in toldCancelledAt) {
@@ -141,7 +258,10 @@
     }
 
     fun answered(now: Micros, job: String, well: Boolean) {
-        if (well) told.getOrPut(job) { Told() }.answeredAt = now
+        if (!well) return
+        val known = told.getOrPut(job) { Told() }
+        if (now - known.answeredAt > UNANSWERED) known.silent.add(known.answeredAt to now)
+        known.answeredAt = now
     }
 
     /**
@@ -153,7 +273,9 @@
         val accepted = told.filter { it.value.acceptedAt != null && it.key in specs }
         for ((job, known) in accepted) {
             val since = maxOf(known.answeredAt, calm, known.acceptedAt ?: calm)
-            if (now - since > UNANSWERED) breaks("forgotten", "no question about $job is answered")
+            val spells = known.silent.map { it.second - maxOf(it.first, since(known, calm)) }
+            if (now - since > UNANSWERED || spells.any { it > UNANSWERED })
+                breaks("forgotten", "no question about $job is answered")
         }
         val old =
             accepted
@@ -174,6 +296,8 @@
         }
     }
 
+    private fun since(known: Told, calm: Micros) = maxOf(calm, known.acceptedAt ?: calm)
+
     private fun half(what: String, jobs: List<JobSpec>) {
         val served = jobs.count { it.id in begun }
         if (served * 2 < jobs.size) breaks("served", "$served of ${jobs.size} of $what")
@@ -190,5 +314,7 @@
         val SLACK = 1.secs
         private val UNANSWERED = 75.secs
         private val LONGEST_WAIT = 240.secs
+        private val LONGEST_BESIDE_ROOM = 90.secs
+        private val states = setOf("queued", "running", "done", "cancelled")
     }
 }
--- a/src/test/kotlin/wardmux/sim/StateStandIn.kt
+++ b/src/test/kotlin/wardmux/sim/StateStandIn.kt
@@ -19,6 +19,7 @@
 import wardmux.Micros
 import wardmux.app.StateFacts
 import wardmux.millis
+import wardmux.secs
 
 /** The state service, written from PROTOCOL. */
 class StateStandIn(private val clock: Clockwork, private val facts: StateFacts) {
@@ -28,7 +29,12 @@
 
     private class Change(val revision: Long, val key: String, val data: JsonElement?)
 
-    private class Watch(val prefix: String, val from: Long, val answer: (Int, String) -> Unit) {
+    private class Watch(
+        val member: String,
+        val prefix: String,
+        val from: Long,
+        val answer: (Int, String) -> Unit,
+    ) {
         var open = true
     }
 
@@ -41,6 +47,12 @@
 
     /** Members that get 503; null stands for all. */
     private val refused = HashSet<String?>()
+
+    /** Part of the transactions that get no answer and are carried out after newer ones. */
+    var lateWrites = 0.0
+
+    /** The open watches of a member that is refused alone wait, as PROTOCOL has it. */
+    var refusedWatchesWait = false
     val problems = ArrayList<String>()
 
     init {
@@ -55,6 +67,7 @@
         refused.remove(member)
         // After an outage all leases have their full time again.
         if (member == null) for (lease in leases.values) lease.until = clock.now + lease.life
+        if (refusedWatchesWait) wake()
     }
 
     fun value(key: String): JsonElement? = keys[key]?.data
@@ -96,8 +109,15 @@
         when {
             route == "/keys" -> page(query, answer)
             route.startsWith("/keys/") -> get(route.removePrefix("/keys/"), answer)
-            route == "/multi" -> multi(Json.parseToJsonElement(body).jsonObject, answer)
-            route == "/watch" -> watch(query, answer)
+            route == "/multi" -> {
+                val transaction = Json.parseToJsonElement(body).jsonObject
+                if (lateWrites > 0 && clock.chance(lateWrites)) {
+                    clock.after(clock.between(2.secs, 12.secs)) { late(transaction) }
+                } else {
+                    multi(transaction, answer)
+                }
+            }
+            route == "/watch" -> watch(from, query, answer)
             route == "/leases" -> {
                 val life =
                     Json.parseToJsonElement(body).jsonObject.getValue("life_ms").jsonPrimitive.int
@@ -117,6 +137,12 @@
         }
     }
 
+    /** Carried out as soon as the service works again; whether the sender is refused is all one. */
+    private fun late(transaction: JsonObject) {
+        if (null in refused) clock.after(500.millis) { late(transaction) }
+        else multi(transaction) { _, _ -> }
+    }
+
     private fun get(key: String, answer: (Int, String) -> Unit) {
         val entry = keys[key] ?: return answer(404, """{"epoch":$revision}""")
         answer(200, item(key, entry).toString())
@@ -189,21 +215,25 @@
 
     private fun JsonObject.text(name: String) = getValue(name).jsonPrimitive.content
 
-    private fun watch(query: Map<String, String>, answer: (Int, String) -> Unit) {
+    private fun watch(member: String, query: Map<String, String>, answer: (Int, String) -> Unit) {
         val from = query.getValue("from").toLong()
         // Few changes are kept, so that 410 is tried too.
         if (changes.size > KEPT && changes[changes.size - KEPT].revision > from) {
             return answer(410, "{}")
         }
-        val watch = Watch(query.getValue("under"), from, answer)
+        val watch = Watch(member, query.getValue("under"), from, answer)
         watches.add(watch)
         val block = query["block_ms"]?.toInt() ?: 0
         clock.after(block.millis) { close(watch) }
         wake()
     }
 
+    private fun waits(watch: Watch) =
+        refusedWatchesWait && (null in refused || watch.member in refused)
+
     private fun close(watch: Watch) {
         if (!watch.open || null in refused) return
+        if (waits(watch)) return clock.after(500.millis) { close(watch) }
         watch.open = false
         watches.remove(watch)
         watch.answer(200, """{"epoch":$revision,"events":[]}""")
@@ -211,6 +241,7 @@
 
     private fun wake() {
         for (watch in watches.toList()) {
+            if (waits(watch)) continue
             val news =
                 changes.filter { it.revision > watch.from && it.key.startsWith(watch.prefix) }
             if (news.isEmpty()) continue
--- a/src/test/kotlin/wardmux/sim/WorkerStandIn.kt
+++ b/src/test/kotlin/wardmux/sim/WorkerStandIn.kt
@@ -72,6 +72,19 @@
         clock.every(100.millis) { if (alive && !hanging) step() }
     }
 
+    /** What this machine has and holds, fetching tasks included. */
+    fun view(): MachineView {
+        val held = tasks.values.filter { it.status != "ended" }
+        return MachineView(
+            id,
+            type,
+            zone,
+            spot,
+            CPUS - held.sumOf { specOf(it.job)?.cpus ?: 0.0 },
+            held.map { it.job to it.index },
+        )
+    }
+
     /** The machine stops with all that is on it. */
     fun die() {
         alive = false
--- a/src/test/kotlin/wardmux/sim/World.kt
+++ b/src/test/kotlin/wardmux/sim/World.kt
@@ -1,6 +1,7 @@
 package wardmux.sim
 
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import wardmux.Effect
@@ -64,6 +65,22 @@
 
     /** One life of a controller. */
     private inner class Process(val member: String) {
+        /** Decisions to start are held against what users were told when they were made. */
+        private fun noteOrders(effects: List<Effect>) {
+            if (!rules.knowsCancelled) return
+            for (effect in effects) {
+                val body =
+                    when {
+                        effect is Effect.Answer -> effect.body
+                        effect is Effect.Send && effect.path == "/do" -> effect.body
+                        else -> continue
+                    }.decodeToString()
+                for (start in startOrder.findAll(body)) {
+                    rules.ordered(clock.now, start.groupValues[1], start.value)
+                }
+            }
+        }
+
         val drift = 1.0 + clock.random.nextDouble(-0.0005, 0.0005)
         val offset = clock.between(Micros.ZERO, 100.millis)
         val answers = HashMap<Long, (Int, String) -> Unit>()
@@ -92,7 +109,7 @@
 
         private fun handle(input: Input): List<Effect> {
             val now = Micros((clock.now.value * drift).toLong())
-            return core.handle(now, clock.now + offset, input)
+            return core.handle(now, clock.now + offset, input).also(::noteOrders)
         }
 
         fun feed(input: Input) {
@@ -199,12 +216,17 @@
 
     private fun worker(id: String, type: String, zone: String, spot: Boolean): WorkerStandIn {
         val send: Report = { node, body, answer ->
-            network.copy {
+            val again = {
                 call(node, Port.API, "POST", "/hello", body.encodeToByteArray()) { _, _ -> }
             }
-            network.send(id, node) {
-                call(node, Port.API, "POST", "/hello", body.encodeToByteArray()) { status, text ->
-                    network.send(node, id) { answer(status, text) }
+            network.copy(again)
+            if (id !in network.mute) {
+                network.reportAgain(again)
+                network.send(id, node) {
+                    call(node, Port.API, "POST", "/hello", body.encodeToByteArray()) { status, text
+                        ->
+                        network.send(node, id) { answer(status, text) }
+                    }
                 }
             }
         }
@@ -226,6 +248,7 @@
     }
 
     init {
+        rules.whenAllDone = ::jobEnded
         for (node in nodes) boot(node)
         if (rented) for (zone in zones) cloud.rent(zone, spot = false)
     }
@@ -325,6 +348,100 @@
         }
     }
 
+    // Troubles that users make.
+
+    /**
+     * Up to [count] jobs that run and have long to go are called off within a fifth of a second.
+     */
+    fun cancelNow(count: Int, hang: Micros) {
+        val running =
+            rules.runningUncancelled().map(specs::getValue).sortedByDescending {
+                if (it.estimateS == 0.0) Double.MAX_VALUE else it.estimateS
+            }
+        val chosen = running.take(count).map { it.id }
+        for (job in chosen) clock.after(clock.between(Micros.ZERO, 200.millis)) { cancel(job) }
+        if (hang == Micros.ZERO) return
+        for (machine in chosen.flatMap(rules::machinesOf).distinct().take(MOST_HANGING)) {
+            val worker = workers[machine] ?: continue
+            worker.hanging = true
+            clock.after(hang) { worker.hanging = false }
+        }
+    }
+
+    /** Part of the jobs whose last task ends that are called off at that moment. */
+    var cancelAtEnd = 0.0
+
+    private fun jobEnded(job: String) {
+        if (cancelAtEnd > 0 && clock.chance(cancelAtEnd)) {
+            // From before the report of the end to after the record of it.
+            clock.after(clock.between(Micros.ZERO, 1_200.millis)) { cancel(job) }
+        }
+    }
+
+    /** One of the requests that users seldom make; the answers to all of them are checked. */
+    fun oddRequest() {
+        when (clock.random.nextInt(5)) {
+            0 -> rules.open().randomOrNull(clock.random)?.let(::repeat)
+            1 -> rules.over().randomOrNull(clock.random)?.let(::repeat)
+            2 ->
+                rules
+                    .over()
+                    .filter { rules.finalOf(it) == "done" }
+                    .randomOrNull(clock.random)
+                    ?.let { cancelDone(it) }
+            3 -> submitBad(422, encode(unfit()))
+            else -> submitBad(400, lacking())
+        }
+    }
+
+    private fun encode(spec: JobSpec) =
+        lenientJson.encodeToJsonElement(JobSpec.serializer(), spec).jsonObject
+
+    private fun repeat(job: String) {
+        val askedAt = clock.now
+        val body = encode(specs.getValue(job)).toString().encodeToByteArray()
+        ask("POST", "/submissions", body) { status, text ->
+            if (status != null) rules.repeated(clock.now, job, status, stateIn(text), askedAt)
+        }
+    }
+
+    private fun cancelDone(job: String) {
+        val askedAt = clock.now
+        ask("POST", "/submissions/$job/abort", ByteArray(0)) { status, text ->
+            if (status != null) rules.told(clock.now, job, "abort", status, stateIn(text), askedAt)
+        }
+    }
+
+    private fun plain() = randomJob().copy(shape = Shape.BATCH, zone = null)
+
+    private fun unfit(): JobSpec =
+        when (clock.random.nextInt(6)) {
+            0 -> plain().copy(cpus = WorkerStandIn.CPUS + 1)
+            1 -> plain().copy(team = "team-9")
+            2 -> plain().copy(types = listOf("none"))
+            3 -> plain().copy(gpus = 1.0)
+            4 -> plain().copy(zone = "z")
+            // More than the team's limit, all tasks together.
+            else -> plain().copy(shape = Shape.DAEMON, tasks = 6, cpus = 8.0, estimateS = 0.0)
+        }
+
+    private fun lacking(): JsonObject {
+        val full = encode(plain())
+        val needed = full.keys - setOf("name_id", "boxkinds", "ward", "due_s")
+        return JsonObject(full - needed.random(clock.random))
+    }
+
+    private fun submitBad(expected: Int, body: JsonObject) {
+        val job = body.getValue("name_id").jsonPrimitive.content
+        ask("POST", "/submissions", body.toString().encodeToByteArray()) { status, _ ->
+            if (status != null) rules.answeredBad(job, expected, status, body.toString())
+            // Nor is it known afterwards.
+            ask("GET", "/submissions/$job", ByteArray(0)) { later, text ->
+                if (later != null) rules.told(clock.now, job, "GET", later, stateIn(text))
+            }
+        }
+    }
+
     private var lastJob = 0
 
     fun randomJob(): JobSpec {
@@ -359,8 +476,22 @@
 
     fun run(until: Micros) = clock.run(until) { rules.check(clock.now) }
 
+    /** From now, which is calm, no job may wait beside a machine that has room for it. */
+    fun watchWaiting() = watchWaitingAgain()
+
+    private fun watchWaitingAgain() {
+        val healthy = cloud.workers().filter { !it.hanging && !it.sick && it.recallS == null }
+        rules.rooms(clock.now, healthy.map { it.view() }, cloud.workers().map { it.view() })
+        clock.after(1.secs) { watchWaitingAgain() }
+    }
+
     /** The checks at the end of a day whose troubles were over at [calm]. */
     fun endOfDay(calm: Micros) = rules.endOfDay(clock.now, calm)
 
     fun problems(): List<String> = rules.broken + state.problems + cloud.problems
+
+    private companion object {
+        const val MOST_HANGING = 8
+        val startOrder = Regex("""\{"verb":"start","piece":"(job-\d+)/\d+"[^}]*}""")
+    }
 }
