--- a/src/test/kotlin/wardmux/sim/RulesTest.kt
+++ b/src/test/kotlin/wardmux/sim/RulesTest.kt
@@ -2,9 +2,12 @@
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import wardmux.Micros
 import wardmux.app.TeamFacts
+import wardmux.app.WorkerFacts
+import wardmux.intake.JobSpec
 import wardmux.secs
 
 /** Each rule is broken on purpose: a checker that cannot fail checks nothing. */
@@ -122,4 +125,245 @@
         rules.told(1.secs, "job-000003", "GET", 200, "cancelled")
         assertBroken("went_back")
     }
+
+    @Test
+    fun `started_cancelled by an order that its sender must not give any more`() {
+        rules.submitted(spec())
+        rules.askedToCancel(job)
+        assertFalse(rules.knowsCancelled)
+        rules.ordered(Micros.ZERO, job, "start")
+        told("abort", 200, "cancelled")
+        assertTrue(rules.knowsCancelled)
+        rules.ordered(4.secs, job, "start")
+        assertEquals(emptyList(), rules.broken)
+        assertEquals(1, rules.ordersAfterCancel)
+        rules.ordered(6.secs, job, "start")
+        assertBroken("started_cancelled")
+    }
+
+    @Test
+    fun `a start on its way is counted, and breaks a rule after cancel_s`() {
+        rules.submitted(spec())
+        rules.askedToCancel(job)
+        start(0)
+        told("abort", 200, "cancelled")
+        start(1, at = 36.secs)
+        assertEquals(1, rules.startsAfterCancel)
+        assertEquals(emptyList(), rules.broken)
+        rules.submitted(spec().copy(id = "job-000002"))
+        rules.askedToCancel("job-000002")
+        rules.told(1.secs, "job-000002", "abort", 200, "cancelled")
+        rules.started(38.secs, "job-000002", 0, "m3", "mid", "a", false)
+        assertBroken("ran_cancelled")
+    }
+
+    /** A leader that does not know of the cancellation goes on renewing the machine's lease. */
+    @Test
+    fun `ran_cancelled by a machine that hung and goes on`() {
+        val clock = Clockwork(1)
+        val facts = WorkerFacts(reportS = 2.5, leaseS = 16.0, cancelS = 36.0)
+        val order = """{"verb":"start","piece":"$job/0","try":1}"""
+        val worker =
+            WorkerStandIn(
+                "m1",
+                "mid",
+                "a",
+                false,
+                clock,
+                facts,
+                listOf("n0"),
+                rules,
+                { spec(1).copy(estimateS = 100_000.0) },
+            ) { _, _, answer ->
+                answer(200, """{"baton":1,"orders":[$order]}""")
+            }
+        rules.submitted(spec(1))
+        rules.askedToCancel(job)
+        clock.run(5.secs) {}
+        rules.told(clock.now, job, "abort", 200, "cancelled")
+        clock.run(10.secs) {}
+        worker.hanging = true
+        clock.run(24.secs) {}
+        worker.hanging = false
+        clock.run(41.secs) { rules.check(clock.now) }
+        assertEquals(emptyList(), rules.broken)
+        clock.run(43.secs) { rules.check(clock.now) }
+        assertBroken("ran_cancelled")
+    }
+
+    @Test
+    fun `forgotten by no answer for long, also if one comes at last`() {
+        rules.submitted(spec())
+        told("POST", 201, "queued")
+        start(0)
+        for (at in 10..100 step 10) rules.answered(at.secs, job, well = true)
+        rules.answered(150.secs, job, well = false)
+        rules.answered(190.secs, job, well = true)
+        // Troubles until 120 s excuse it.
+        rules.endOfDay(200.secs, calm = 120.secs)
+        assertEquals(emptyList(), rules.broken)
+        rules.endOfDay(200.secs, calm = 110.secs)
+        assertBroken("forgotten")
+        rules.broken.clear()
+        rules.endOfDay(270.secs, calm = 120.secs)
+        assertBroken("forgotten")
+    }
+
+    private fun accepted(number: Int, tasks: Int, team: String = "t", jobClass: String = "c") {
+        val id = "job-%06d".format(number)
+        rules.submitted(spec(tasks).copy(id = id, team = team, jobClass = jobClass, cpus = 0.1))
+        rules.told(Micros.ZERO, id, "POST", 201, "queued")
+        rules.answered(400.secs, id, well = true)
+    }
+
+    private fun begin(number: Int) =
+        rules.started(1.secs, "job-%06d".format(number), 0, "m1", "mid", "a", false)
+
+    private fun endOfDay(at: Micros = 400.secs) = rules.endOfDay(at, calm = 390.secs)
+
+    @Test
+    fun `less than half of a class and of a team is served`() {
+        for (number in 1..5) accepted(number, if (number == 1) 2 else 1)
+        for (number in 1..3) begin(number)
+        endOfDay()
+        assertEquals(emptyList(), rules.broken)
+        accepted(6, 1)
+        accepted(7, 1)
+        endOfDay()
+        assertTrue(rules.broken.any { "class c" in it }, "${rules.broken}")
+        assertTrue(rules.broken.any { "team t" in it }, "${rules.broken}")
+    }
+
+    @Test
+    fun `one that its user called off, or that came late, need not be served`() {
+        accepted(1, 1)
+        rules.askedToCancel("job-000001")
+        rules.submitted(spec().copy(id = "job-000002"))
+        rules.told(200.secs, "job-000002", "POST", 201, "queued")
+        rules.answered(400.secs, "job-000002", well = true)
+        endOfDay()
+        assertEquals(emptyList(), rules.broken)
+    }
+
+    @Test
+    fun `the largest of a class are served, and begin within four minutes`() {
+        for (number in 1..10) accepted(number, number)
+        for (number in 1..9) begin(number)
+        endOfDay()
+        // One of the two largest is half of them, yet the other has not begun.
+        assertEquals(listOf("late: job-000010 of 10 has not begun"), rules.broken)
+        accepted(11, 11)
+        accepted(12, 12)
+        rules.broken.clear()
+        endOfDay()
+        assertTrue(rules.broken.any { "largest of c" in it }, "${rules.broken}")
+    }
+
+    private fun room(free: Double = 16.0, vararg tasks: Pair<String, Int>) =
+        MachineView("m1", "mid", "a", false, free, tasks.toList())
+
+    private fun watchRooms(spec: JobSpec, vararg machines: MachineView): List<String> {
+        rules.submitted(spec)
+        rules.told(Micros.ZERO, spec.id, "POST", 201, "queued")
+        for (at in 0..95) rules.rooms(at.secs, machines.toList(), machines.toList())
+        return rules.broken.filter { it.startsWith("left_waiting:") }
+    }
+
+    @Test
+    fun `left_waiting beside a machine with room`() =
+        assertEquals(1, watchRooms(spec(1), room()).size)
+
+    @Test
+    fun `left_waiting with a task that is not placed, also if another one is`() =
+        assertEquals(1, watchRooms(spec(2), room(8.0, job to 0)).size)
+
+    @Test
+    fun `none is left_waiting where no machine fits`() {
+        assertEquals(emptyList(), watchRooms(spec(1), room(free = 7.0)))
+        assertEquals(emptyList(), watchRooms(spec(1).copy(zone = "b"), room()))
+        assertEquals(emptyList(), watchRooms(spec(1).copy(types = listOf("big")), room()))
+        val spot = MachineView("m1", "mid", "a", true, 16.0, emptyList())
+        assertEquals(emptyList(), watchRooms(spec(1), spot))
+        val elsewhere = MachineView("m2", "mid", "b", false, 0.0, listOf(job to 0))
+        val bound = spec(2).copy(oneZone = true)
+        assertEquals(emptyList(), watchRooms(bound, room(), elsewhere))
+        val half = room(8.0, job to 0)
+        assertEquals(emptyList(), watchRooms(spec(2).copy(spread = true), half))
+    }
+
+    @Test
+    fun `none is left_waiting while its team is at its limit`() =
+        assertEquals(emptyList(), watchRooms(spec(3), room(16.0, job to 0, job to 1)))
+
+    @Test
+    fun `none is left_waiting while its tasks go on starting`() {
+        rules.submitted(spec())
+        told("POST", 201, "queued")
+        for (at in 0..95) {
+            if (at == 50) start(0)
+            rules.rooms(at.secs, listOf(room()), listOf(room()))
+        }
+        assertEquals(emptyList(), rules.broken)
+    }
+
+    @Test
+    fun `a job that can't run or lacks a field is accepted, or refused for the wrong reason`() {
+        for (fine in listOf(422, 429, 503)) rules.answeredBad(job, 422, fine, "")
+        rules.answeredBad(job, 400, 400, "")
+        assertEquals(emptyList(), rules.broken)
+        rules.answeredBad(job, 422, 201, "")
+        rules.answeredBad(job, 400, 200, "")
+        assertEquals(2, rules.broken.count { it.startsWith("accepted_bad:") })
+        rules.answeredBad(job, 422, 400, "")
+        rules.answeredBad(job, 400, 422, "")
+        assertEquals(2, rules.broken.count { it.startsWith("wrong_answer:") })
+        // Nor may it be known afterwards.
+        rules.told(1.secs, job, "GET", 200, "queued")
+        assertBroken("invented")
+    }
+
+    @Test
+    fun `a repeat is answered with 200 and the state now`() {
+        rules.submitted(spec())
+        told("POST", 201, "queued")
+        rules.repeated(3.secs, job, 200, "running", askedAt = 2.secs)
+        assertEquals(emptyList(), rules.broken)
+        rules.repeated(3.secs, job, 201, "queued", askedAt = 2.secs)
+        rules.repeated(3.secs, job, 200, null, askedAt = 2.secs)
+        assertEquals(2, rules.broken.count { it.startsWith("wrong_answer:") })
+        rules.repeated(3.secs, job, 422, null, askedAt = 2.secs)
+        assertBroken("forgotten")
+    }
+
+    @Test
+    fun `a job that is done stays so for repeats and cancellations`() {
+        rules.submitted(spec(1))
+        told("POST", 201, "queued")
+        start(0)
+        rules.ended(job, 0, "m1", done = true)
+        told("GET", 200, "done")
+        rules.repeated(3.secs, job, 200, "done", askedAt = 2.secs)
+        rules.told(3.secs, job, "abort", 200, "done", askedAt = 2.secs)
+        assertEquals(emptyList(), rules.broken)
+        rules.repeated(3.secs, job, 200, "queued", askedAt = 2.secs)
+        assertBroken("went_back")
+        rules.broken.clear()
+        rules.told(3.secs, job, "abort", 200, "cancelled", askedAt = 2.secs)
+        assertBroken("went_back")
+    }
+
+    @Test
+    fun `the end of a job is told once, and not of one that was called off`() {
+        val ended = ArrayList<String>()
+        rules.whenAllDone = { ended.add(it) }
+        rules.submitted(spec(2))
+        rules.submitted(spec(1).copy(id = "job-000002"))
+        rules.askedToCancel("job-000002")
+        rules.ended(job, 0, "m1", done = true)
+        rules.ended("job-000002", 0, "m1", done = true)
+        assertEquals(emptyList(), ended)
+        rules.ended(job, 1, "m1", done = true)
+        rules.ended(job, 1, "m1", done = true)
+        assertEquals(listOf(job), ended)
+    }
 }
