--- a/src/test/kotlin/wardmux/sim/MachineMeetingsTest.kt
+++ b/src/test/kotlin/wardmux/sim/MachineMeetingsTest.kt
@@ -65,8 +65,8 @@
         }
 
         fun mute(worker: WorkerStandIn, length: Micros) {
-            world.mute.add(worker.id)
-            clock.after(length) { world.mute.remove(worker.id) }
+            world.network.mute.add(worker.id)
+            clock.after(length) { world.network.mute.remove(worker.id) }
         }
 
         fun holds() {
--- a/src/test/kotlin/wardmux/sim/OutageMeetingsTest.kt
+++ b/src/test/kotlin/wardmux/sim/OutageMeetingsTest.kt
@@ -31,27 +31,28 @@
         constructor(way: Way) : this(way.seed, way.relays)
 
         /** Tasks that go on until they are cancelled. */
-        fun submit(count: Int) = repeat(count) {
-            val spec =
-                world
-                    .randomJob()
-                    .copy(
-                        shape = Shape.DAEMON,
-                        team = "team-${jobs.size % 3}",
-                        urgency = Urgency.NORMAL,
-                        tasks = TASKS,
-                        cpus = 2.0,
-                        zone = null,
-                        oneZone = false,
-                        spread = false,
-                        spot = true,
-                        estimateS = 0.0,
-                        checkpointS = 0.0,
-                        saveS = 0.0,
-                    )
-            jobs.add(spec.id)
-            world.submit(spec)
-        }
+        fun submit(count: Int) =
+            repeat(count) {
+                val spec =
+                    world
+                        .randomJob()
+                        .copy(
+                            shape = Shape.DAEMON,
+                            team = "team-${jobs.size % 3}",
+                            urgency = Urgency.NORMAL,
+                            tasks = TASKS,
+                            cpus = 2.0,
+                            zone = null,
+                            oneZone = false,
+                            spread = false,
+                            spot = true,
+                            estimateS = 0.0,
+                            checkpointS = 0.0,
+                            saveS = 0.0,
+                        )
+                jobs.add(spec.id)
+                world.submit(spec)
+            }
 
         /** Six jobs run, and the leader has settled how reports come in. */
         fun begin() {
@@ -108,7 +109,11 @@
             runFor(clock.between(5.millis, 400.millis))
             for (job in cancelled) cancel(job, by = other)
             runFor(GAP)
-            for (job in cancelled) assertEquals("cancelled", rules.finalOf(job), "$job is confirmed")
+            for (job in cancelled) assertEquals(
+                "cancelled",
+                rules.finalOf(job),
+                "$job is confirmed",
+            )
             assertEquals(leader, world.leader(), "it still has its lease")
             outage(null, OUTAGE)
             runFor(OUTAGE)
@@ -118,14 +123,17 @@
             end(calm = clock.now - CALM)
         }
 
-        /** To the letter, without the slack of the world's rules; machines look ten times a second. */
+        /**
+         * To the letter, without the slack of the world's rules; machines look ten times a second.
+         */
         private fun lateOnes(): Set<String> {
             val late = HashSet<String>()
             clock.every(100.millis) {
-                late += jobs.filter { job ->
-                    val at = rules.cancelledAt(job)
-                    at != null && clock.now - at > CANCEL && rules.placesOf(job).isNotEmpty()
-                }
+                late +=
+                    jobs.filter { job ->
+                        val at = rules.cancelledAt(job)
+                        at != null && clock.now - at > CANCEL && rules.placesOf(job).isNotEmpty()
+                    }
             }
             return late
         }
@@ -135,10 +143,11 @@
     @MethodSource("ways")
     fun `what is cancelled beside a refused leader is gone in time though all are out then`(
         way: Way
-    ) = Meeting(way).run {
-        begin()
-        gap(way)
-    }
+    ) =
+        Meeting(way).run {
+            begin()
+            gap(way)
+        }
 
     @ParameterizedTest
     @MethodSource("ways")
@@ -306,7 +315,8 @@
             runFor(clock.between(1.secs, 6.secs))
             cancel(jobs[2])
             runFor(clock.between(5.millis, 300.millis))
-            val back = if (quick) clock.between(20.millis, 900.millis) else clock.between(1.secs, 12.secs)
+            val back =
+                if (quick) clock.between(20.millis, 900.millis) else clock.between(1.secs, 12.secs)
             for (node in world.nodes) world.crash(node, if (node == first) back else 40.secs)
             runFor(30.secs)
             assertEquals(first, world.leader(), "it leads by itself")
--- a/src/test/kotlin/wardmux/sim/StateStandIn.kt
+++ b/src/test/kotlin/wardmux/sim/StateStandIn.kt
@@ -19,6 +19,7 @@
 import wardmux.Micros
 import wardmux.app.StateFacts
 import wardmux.millis
+import wardmux.secs
 
 /** The state service, written from PROTOCOL. */
 class StateStandIn(private val clock: Clockwork, private val facts: StateFacts) {
@@ -46,6 +47,12 @@
 
     /** Members that get 503; null stands for all. */
     private val refused = HashSet<String?>()
+
+    /** Part of the transactions that get no answer and are carried out after newer ones. */
+    var lateWrites = 0.0
+
+    /** The open watches of a member that is refused alone wait, as PROTOCOL has it. */
+    var refusedWatchesWait = false
     val problems = ArrayList<String>()
 
     init {
@@ -67,6 +74,7 @@
         refused.remove(member)
         // After an outage all leases have their full time again.
         if (member == null) for (lease in leases.values) lease.until = clock.now + lease.life
+        if (refusedWatchesWait) wake()
     }
 
     fun value(key: String): JsonElement? = keys[key]?.data
@@ -110,7 +118,14 @@
         when {
             route == "/keys" -> page(query, answer)
             route.startsWith("/keys/") -> get(route.removePrefix("/keys/"), answer)
-            route == "/multi" -> multi(Json.parseToJsonElement(body).jsonObject, answer)
+            route == "/multi" -> {
+                val transaction = Json.parseToJsonElement(body).jsonObject
+                if (lateWrites > 0 && clock.chance(lateWrites)) {
+                    clock.after(clock.between(2.secs, 12.secs)) { late(transaction) }
+                } else {
+                    multi(transaction, answer)
+                }
+            }
             route == "/watch" -> watch(from, query, answer)
             route == "/leases" -> {
                 val life =
@@ -131,6 +146,12 @@
         }
     }
 
+    /** Carried out as soon as the service works again; whether the sender is refused is all one. */
+    private fun late(transaction: JsonObject) {
+        if (null in refused) clock.after(500.millis) { late(transaction) }
+        else multi(transaction) { _, _ -> }
+    }
+
     private fun get(key: String, answer: (Int, String) -> Unit) {
         val entry = keys[key] ?: return answer(404, """{"epoch":$revision}""")
         answer(200, item(key, entry).toString())
@@ -216,8 +237,12 @@
         wake()
     }
 
+    private fun waits(watch: Watch) =
+        refusedWatchesWait && (null in refused || watch.member in refused)
+
     private fun close(watch: Watch) {
         if (!watch.open || null in refused) return
+        if (waits(watch)) return clock.after(500.millis) { close(watch) }
         watch.open = false
         watches.remove(watch)
         watch.answer(200, """{"epoch":$revision,"events":[]}""")
@@ -225,6 +250,7 @@
 
     private fun wake() {
         for (watch in watches.toList()) {
+            if (waits(watch)) continue
             val news =
                 changes.filter { it.revision > watch.from && it.key.startsWith(watch.prefix) }
             if (news.isEmpty()) continue
