Meeting of a leader's end and machines out of reach has room to show a second start

Where no machine had room, nothing was started again, so a leader that takes what it has not heard of for gone was not seen. The meeting of held-up starts sends starts that are kept beside those that are cancelled.

--- a/src/test/kotlin/wardmux/sim/MachineMeetingsTest.kt
+++ b/src/test/kotlin/wardmux/sim/MachineMeetingsTest.kt
@@ -167,12 +167,13 @@
     @ValueSource(longs = [1, 2, 3, 4])
     fun `a leader ends while machines can't be reached or don't hear the next one`(seed: Long) {
         val day = Meeting(seed)
-        val jobs = List(3) { day.large(it, 4) }
+        // There is room elsewhere for what is out of reach.
+        val jobs = List(3) { day.large(it, 3).copy(cpus = 5.0) }
         jobs.forEach { day.world.submit(it) }
         day.at(30.secs) {
             val length = day.clock.between(5.secs, 60.secs)
             for (worker in day.busy()) {
-                when (day.clock.random.nextInt(3)) {
+                when (day.clock.random.nextInt(4)) {
                     0 -> for (node in day.world.nodes) day.part(node, worker.id, length)
                     1 -> {
                         day.world.network.cut(worker.id)
@@ -227,10 +228,10 @@
         val day = Meeting(seed)
         val first = List(3) { day.large(it, 1) }
         first.forEach { day.world.submit(it) }
-        val cancelled = List(3) { day.array(it, 12).copy(estimateS = 400.0) }
-        val kept = List(3) { day.array(it, 8) }
+        val cancelled = List(3) { day.array(it, 6).copy(estimateS = 400.0) }
+        val kept = List(3) { day.array(it, 8).copy(estimateS = 20.0) }
         day.at(25.secs) {
-            for (job in cancelled) day.world.submit(job)
+            for (job in kept + cancelled) day.world.submit(job)
             // While these starts go out.
             day.clock.after(day.clock.between(20.millis, 900.millis)) {
                 for (worker in day.workers()) {
@@ -246,7 +247,6 @@
                 for (job in cancelled) day.world.cancel(job.id)
             }
         }
-        day.at(32.secs) { for (job in kept) day.world.submit(job) }
         day.world.run(200.secs)
         day.done(*kept.toTypedArray())
     }
