--- a/src/test/kotlin/wardmux/sim/MachineMeetingsTest.kt
+++ b/src/test/kotlin/wardmux/sim/MachineMeetingsTest.kt
@@ -233,11 +233,11 @@
         day.at(25.secs) {
             for (job in kept + cancelled) day.world.submit(job)
             // While these starts go out.
-            day.clock.after(day.clock.between(20.millis, 900.millis)) {
+            day.clock.after(day.clock.between(20.millis, 200.millis)) {
                 for (worker in day.workers()) {
                     val length = day.clock.between(1.secs, 15.secs)
-                    if (day.clock.chance(0.4)) day.hang(worker, length)
-                    else if (day.clock.chance(0.3)) {
+                    if (day.clock.chance(0.5)) day.hang(worker, length)
+                    else if (day.clock.chance(0.5)) {
                         // The order arrives, its answer comes too late.
                         for (node in day.world.nodes) day.part(worker.id, node, length)
                     }
