Services and gangs that may not be in the zones they must be in get 422

Cause: a service or gang with scatter that must be in one zone (same_place, ward, or a type of one zone) was accepted, although half of its tasks at most may ever be there: it could never run whole. Nothing but machine types and the team's limit was looked at. Ruled out: arrays, whose tasks may run one after the other, stay accepted; repeats of a job that was accepted before still get 200, as they are read first.

--- a/src/main/kotlin/wardmux/intake/Intake.kt
+++ b/src/main/kotlin/wardmux/intake/Intake.kt
@@ -96,7 +96,9 @@
     /** Why the job can never run, or null. */
     private fun neverRuns(spec: JobSpec, known: List<MachineType>): String? {
         val team = teams[spec.team] ?: return "unknown team"
-        if (known.none { it.allowedFor(spec) }) return "a task fits no allowed machine type"
+        val allowed = known.filter { it.allowedFor(spec) }
+        if (allowed.isEmpty()) return "a task fits no allowed machine type"
+        if (tooFewZones(spec, allowed)) return "may not be in as few zones as it has to"
         val tasks = if (spec.shape == Shape.BATCH) 1 else spec.tasks
         val slack = MachineType.EPSILON
         return if (
@@ -106,6 +108,17 @@
         else null
     }
 
+    /**
+     * An array's tasks may run one after the other. All others have to be there together, which one
+     * zone can't give to those that may not all be in one.
+     */
+    private fun tooFewZones(spec: JobSpec, allowed: List<MachineType>): Boolean {
+        if (spec.shape == Shape.BATCH || !spec.spread) return false
+        val zones =
+            if (spec.zone != null || spec.oneZone) 1 else allowed.flatMap { it.zones }.toSet().size
+        return spec.zoneLimit * zones < spec.tasks
+    }
+
     private fun accept(call: Long, spec: JobSpec) {
         val id = spec.jobId
         val record = JobRecord(JobState.ACCEPTED, desk.wall.value, spec).toJson()
--- /dev/null
+++ b/src/test/kotlin/wardmux/intake/OddRequestsTest.kt
@@ -0,0 +1,137 @@
+package wardmux.intake
+
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonPrimitive
+import wardmux.JobId
+import wardmux.secs
+import wardmux.sim.Rig
+
+/** Requests that nobody needs and users send all the same. */
+class OddRequestsTest {
+    private val rig = Rig().also { it.run(2.secs) }
+    private val id = JobId("job-000412")
+    private val spec = (SubmissionReader.read(submission()) as Submission.Good).spec
+
+    private fun submit(vararg changes: Pair<String, JsonElement?>) =
+        rig.call("POST", "/submissions", submission(*changes))!!
+
+    private fun abort() = rig.call("POST", "/submissions/${id.value}/abort")!!
+
+    private fun stored(state: JobState) =
+        rig.write(JobRecord.key(id), JobRecord(state, 0, spec).toJson())
+
+    /** The same, of a job that can't run, and of one that lacks a field. */
+    private val repeats =
+        listOf(
+            emptyArray(),
+            arrayOf<Pair<String, JsonElement?>>("cores" to JsonPrimitive(9e6)),
+            arrayOf<Pair<String, JsonElement?>>("owner" to JsonPrimitive("nobody")),
+            arrayOf<Pair<String, JsonElement?>>("scatter" to null),
+        )
+
+    @Test
+    fun `repeats of an unfinished job get 200 with its state, whatever they say`() {
+        assertEquals(201, submit().first)
+        for (repeat in repeats) {
+            val (status, text) = submit(*repeat)
+            assertEquals(200, status, text)
+            assertContains(text, "\"queued\"")
+        }
+    }
+
+    @Test
+    fun `repeats and cancellations of a finished job get 200 with its state, from any process`() {
+        for ((state, word) in listOf(JobState.DONE to "done", JobState.CANCELLED to "cancelled")) {
+            for (repeat in repeats) {
+                // One that has never seen the job, so that nothing comes from memory.
+                val rig = Rig().also { it.run(2.secs) }
+                rig.write(JobRecord.key(id), JobRecord(state, 0, spec).toJson())
+                val before = rig.stored(JobRecord.key(id))
+                val calls =
+                    listOf(
+                        rig.call("POST", "/submissions", submission(*repeat)),
+                        rig.call("POST", "/submissions/${id.value}/abort"),
+                        rig.call("POST", "/submissions", submission(*repeat)),
+                        rig.call("GET", "/submissions/${id.value}"),
+                    )
+                for (answer in calls) {
+                    assertEquals(200, answer?.first, answer?.second)
+                    assertContains(answer!!.second, "\"$word\"")
+                }
+                assertEquals(before, rig.stored(JobRecord.key(id)))
+            }
+        }
+    }
+
+    @Test
+    fun `a job that nobody submitted can't be cancelled`() {
+        assertEquals(404, abort().first)
+        assertEquals(null, rig.stored(JobRecord.key(id)))
+    }
+
+    private fun text(value: String) = JsonPrimitive(value)
+
+    private val service = "shape" to text("daemon")
+    private val gang = "shape" to text("group")
+    private val three = "pieces" to JsonPrimitive(3)
+    private val together = "same_place" to JsonPrimitive(true)
+    private val apart = "scatter" to JsonPrimitive(true)
+
+    @Test
+    fun `a job that can never run gets 422, and nothing of it is kept`() {
+        val never =
+            listOf<Array<Pair<String, JsonElement?>>>(
+                arrayOf("owner" to text("nobody")),
+                arrayOf("cores" to JsonPrimitive(17.0)),
+                arrayOf("mem_gb" to JsonPrimitive(65.0)),
+                arrayOf("gpus" to JsonPrimitive(1.0)),
+                arrayOf("ward" to text("z")),
+                arrayOf("boxkinds" to JsonArray(listOf(text("none")))),
+                arrayOf("boxkinds" to JsonArray(emptyList())),
+                // More than the team's limit of 64 CPUs.
+                arrayOf(service, "pieces" to JsonPrimitive(9)),
+                arrayOf(gang, "pieces" to JsonPrimitive(9)),
+                // All of it in one zone, and not more than half of it in any.
+                arrayOf(service, three, together, apart),
+                arrayOf(gang, three, together, apart),
+                arrayOf(service, three, apart, "ward" to text("a")),
+                arrayOf(gang, three, apart, "ward" to text("a")),
+            )
+        for (changes in never) {
+            val (status, text) = submit(*changes)
+            assertEquals(422, status, "${changes.toList()}: $text")
+            assertEquals(null, rig.stored(JobRecord.key(id)))
+        }
+    }
+
+    @Test
+    fun `a job that can run is taken, however near to one that can't`() {
+        val can =
+            listOf<Array<Pair<String, JsonElement?>>>(
+                arrayOf("cores" to JsonPrimitive(16.0), "mem_gb" to JsonPrimitive(64.0)),
+                arrayOf(service, "pieces" to JsonPrimitive(8)),
+                arrayOf(gang, three, apart),
+                arrayOf(service, "pieces" to JsonPrimitive(1), together, apart),
+                // An array may run one after the other.
+                arrayOf(three, together, apart),
+                arrayOf(three, apart, "ward" to text("a")),
+            )
+        for ((i, changes) in can.withIndex()) {
+            val (status, text) = submit("name_id" to text("job-00050$i"), *changes)
+            assertEquals(201, status, "${changes.toList()}: $text")
+        }
+    }
+
+    @Test
+    fun `a job that lacks a field gets 400, and nothing of it is kept`() {
+        for (field in GOOD_FIELDS.keys - setOf("boxkinds", "ward", "due_s")) {
+            assertEquals(400, submit(field to null).first, field)
+            assertEquals(null, rig.stored(JobRecord.key(id)), field)
+        }
+        assertEquals(400, submit("pieces" to JsonPrimitive(0)).first)
+    }
+}
