Late messages meet what was decided since: a test for each meeting

Writes that are carried out late, ends of tasks far apart across changes of leader, reports held until a new leader acts, cancellations and repeats at the end of the last task, a team at its limit at a take-over, and reports older than the last, also through relays.

--- /dev/null
+++ b/src/test/kotlin/wardmux/sim/LateMessageMeetingsTest.kt
@@ -0,0 +1,351 @@
+package wardmux.sim
+
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlinx.serialization.json.Json
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import wardmux.Micros
+import wardmux.Port
+import wardmux.dispatch.FairQueue
+import wardmux.intake.JobRecord
+import wardmux.intake.JobSpec
+import wardmux.intake.Shape
+import wardmux.intake.Urgency
+import wardmux.lead.Leadership
+import wardmux.millis
+import wardmux.relay.Batch
+import wardmux.relay.FullReport
+import wardmux.relay.RelayCodec
+import wardmux.secs
+
+/** What comes late meets what was decided since: writes, reports, ends of tasks, cancellations. */
+class LateMessageMeetingsTest {
+    /** Array jobs that any machine takes, one like the other. */
+    private fun World.job(tasks: Int, estimateS: Double, cpus: Double = 2.0, team: Int = 0) =
+        randomJob()
+            .copy(
+                team = "team-$team",
+                shape = Shape.BATCH,
+                urgency = Urgency.NORMAL,
+                tasks = tasks,
+                cpus = cpus,
+                zone = null,
+                oneZone = false,
+                spread = false,
+                spot = true,
+                estimateS = estimateS,
+                checkpointS = 0.0,
+                saveS = 0.0,
+            )
+
+    private fun World.crashLeader(back: Micros) {
+        leader()?.let { crash(it, back) }
+    }
+
+    private fun World.assertWell() = assertEquals(emptyList(), problems())
+
+    // Transactions that are carried out late.
+
+    /** Jobs are sent, cancelled and done, leaders end, and every sixth write gets no answer. */
+    private fun dayOfLateWrites(seed: Long, share: Double): World {
+        val world = World(seed)
+        val clock = world.clock
+        world.state.late = { _, transaction ->
+            clock.now < TROUBLED && "then" in transaction && clock.chance(share)
+        }
+        val jobs = ArrayList<JobSpec>()
+        for (second in 4..48 step 4) {
+            clock.after(second.secs) {
+                val job = world.job(3 + second % 4, 4.0, team = second % 3)
+                jobs.add(job)
+                world.submit(job)
+                if (second % 8 == 0) {
+                    clock.after(clock.between(1.secs, 9.secs)) { world.cancel(job.id) }
+                }
+            }
+        }
+        clock.after(24.secs) { world.crashLeader(2.secs) }
+        clock.after(32.secs) { world.cloud.workers().firstOrNull()?.let { world.cloud.kill(it) } }
+        clock.after(44.secs) { world.crashLeader(300.millis) }
+        world.run(TROUBLED + 160.secs)
+        world.assertWell()
+        for (job in jobs) {
+            assertContains(listOf("done", "cancelled"), world.rules.finalOf(job.id), job.id)
+        }
+        return world
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `a late write of a leader changes nothing after its newer ones`(seed: Long) {
+        val late = dayOfLateWrites(seed, 0.17).state.carriedOutLate
+        val leaders = late.filter { it.changes(FairQueue.KEY) }
+        val overtaken = leaders.filter { it.overtakenBy(FairQueue.KEY) }
+        assertTrue(overtaken.isNotEmpty(), "the meeting did not come about")
+        assertEquals(0, overtaken.count { it.carriedOut })
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [11, 12, 13])
+    fun `writes of leader keys that are carried out late leave one leader`(seed: Long) {
+        val world = World(seed)
+        val clock = world.clock
+        val taking = "\"put\":\"${Leadership.KEY}\""
+        world.state.late = { _, transaction ->
+            clock.now < TROUBLED && taking in transaction.toString() && clock.chance(0.6)
+        }
+        val job = world.job(12, 6.0)
+        clock.after(6.secs) { world.submit(job) }
+        for (second in 10..50 step 10) clock.after(second.secs) { world.crashLeader(400.millis) }
+        world.run(TROUBLED + 100.secs)
+        val late = world.state.carriedOutLate.filter { it.changes(Leadership.KEY) }
+        assertTrue(late.isNotEmpty(), "the meeting did not come about")
+        assertEquals(0, late.count { it.replaced(Leadership.KEY) })
+        world.assertWell()
+        assertEquals("done", world.rules.finalOf(job.id))
+    }
+
+    // Tasks that end far apart.
+
+    @ParameterizedTest
+    @ValueSource(longs = [21, 22, 23, 24, 25, 26])
+    fun `ends far apart across changes of leader are all counted, and nothing runs again`(
+        seed: Long
+    ) {
+        val world = World(seed)
+        val clock = world.clock
+        val job = world.job(2 + (seed % 2).toInt(), 60.0)
+        clock.after(5.secs) { world.submit(job) }
+        var seen = 0
+        var changes = 0
+        clock.every(50.millis) {
+            if (world.rules.completedOf(job.id) > seen && seen + 1 < job.tasks) {
+                seen++
+                changes++
+                // Before or after the end is reported, written or forgotten.
+                clock.after(clock.between(Micros.ZERO, 6.secs)) {
+                    world.crashLeader(clock.between(300.millis, 9.secs))
+                }
+            }
+        }
+        world.run(160.secs)
+        assertTrue(changes > 0)
+        world.assertWell()
+        assertEquals("done", world.rules.finalOf(job.id))
+        assertEquals(job.tasks, world.rules.starts, "something ran again")
+        assertEquals(0, world.rules.startsOfDone, "something done was started again")
+    }
+
+    // The end of a job's last task, with no other trouble.
+
+    @ParameterizedTest
+    @ValueSource(longs = [31, 32, 33])
+    fun `a cancellation, a question and a repeat at the end of the last task agree`(seed: Long) {
+        val world = World(seed)
+        val clock = world.clock
+        // As it is at times: so the end is recorded between a cancellation's read and its write.
+        world.network.slow["state"] = 150.millis
+        val jobs = List(24) { world.job(1 + it % 2, 4.0, team = it % 3) }
+        val ended = HashSet<String>()
+        for ((i, job) in jobs.withIndex()) {
+            clock.after(5.secs + 1.secs * (i / 2).toDouble()) { world.submit(job) }
+        }
+        clock.every(20.millis) {
+            for (job in jobs) {
+                if (world.rules.completedOf(job.id) < job.tasks || !ended.add(job.id)) continue
+                val within = { action: () -> Unit ->
+                    clock.after(clock.between(Micros.ZERO, 800.millis), action)
+                }
+                within { world.cancel(job.id) }
+                within { world.poll(job.id) }
+                within { world.submit(job) }
+            }
+        }
+        world.run(90.secs)
+        world.assertWell()
+        val finals = jobs.map { world.rules.finalOf(it.id) }
+        // On both sides of the end's record.
+        assertEquals(setOf<String?>("done", "cancelled"), finals.toSet())
+    }
+
+    // A team at its limit.
+
+    @ParameterizedTest
+    @ValueSource(longs = [41, 42, 43, 44])
+    fun `a team at its limit stays within it where machines can't be asked at a take-over`(
+        seed: Long
+    ) {
+        val world = World(seed)
+        val clock = world.clock
+        // Two whole machines: no third task is within the team's limit. A service runs on and on.
+        val running = world.job(2, 0.0, cpus = 16.0).copy(shape = Shape.DAEMON)
+        val waiting = world.job(2, 5.0, cpus = 16.0)
+        clock.after(6.secs) { world.submit(running) }
+        clock.after(20.secs) { world.submit(waiting) }
+        var cut = emptyList<WorkerStandIn>()
+        val spell = {
+            cut = world.cloud.workers().filter { running.id in it.reportBody() }.take(2)
+            assertEquals(2, cut.size)
+            for (worker in cut) world.network.cut(worker.id)
+            world.crashLeader(3.secs)
+            clock.after(clock.between(100.millis, 6.secs)) { world.cancel(running.id) }
+            clock.after(clock.between(8.secs, 34.secs)) {
+                for (worker in cut) world.network.mend(worker.id)
+            }
+        }
+        clock.every(1.secs) {
+            val atLimit = world.rules.starts == running.tasks && clock.now > 30.secs
+            if (atLimit && cut.isEmpty()) spell()
+        }
+        world.run(200.secs)
+        assertEquals(2, cut.size, "the meeting did not come about")
+        world.assertWell()
+        assertEquals("cancelled", world.rules.finalOf(running.id))
+        assertEquals("done", world.rules.finalOf(waiting.id))
+    }
+
+    // Reports that arrive late.
+
+    private val rig = Rig()
+
+    private fun placed(rig: Rig, machine: String, attempt: Int = 1, shift: Int = 1) =
+        rig.write(
+            "t/job-000001/0",
+            Json.parseToJsonElement(
+                """{"c":[1],"w":[1.0],"z":["a"],"m":["$machine"],""" +
+                    """"n":[$shift,0,1,0,$attempt,0]}"""
+            ),
+        )
+
+    private fun piece(status: String, attempt: Int = 1, cause: String? = null): String {
+        val why = if (cause == null) "" else ""","cause":"$cause""""
+        return """{"piece":"job-000001/0","try":$attempt,"status":"$status"$why}"""
+    }
+
+    private fun body(machine: String, shift: Int, tick: Int, token: Long, tasks: String = "") =
+        ("""{"box":"$machine","endpoint":"10.0.0.9:9","boxkind":"mid","ward":"a",""" +
+                """"loaners":false,"shift":$shift,"tick":$tick,"baton":$token,""" +
+                """"pieces":[$tasks]}""")
+            .encodeToByteArray()
+
+    private fun Rig.report(
+        machine: String,
+        shift: Int,
+        tick: Int,
+        token: Long,
+        tasks: String = "",
+    ): String = call("POST", "/hello", body(machine, shift, tick, token, tasks))!!.second
+
+    /** Empty machines report, with time for all that could start there to start. */
+    private fun Rig.startsElsewhere(token: Long): String {
+        val others = List(2) { ByHand(this, "i-00005$it") }
+        val answers = StringBuilder()
+        repeat(6) {
+            for (other in others) answers.append(other.hello(token))
+            run(0.5.secs)
+        }
+        return direct.joinToString() + answers
+    }
+
+    @Test
+    fun `a report held until a new leader acts frees nothing there, whatever it lacks or says`() {
+        for (held in listOf("", piece("ended", cause = "error"), piece("ended", cause = "full"))) {
+            val rig = Rig()
+            rig.accept(plainJob(1))
+            placed(rig, "i-000001")
+            rig.run(2.secs)
+            val token = ByHand(rig, "i-000099").token()
+            rig.report("i-000001", 1, 5, token - 1, held)
+            assertFalse("job-000001/0" in rig.startsElsewhere(token), "freed by [$held]")
+            // The machine itself, under the new token, still has it.
+            val answer = rig.report("i-000001", 1, 9, token, piece("running"))
+            assertFalse("halt" in answer, "given up after [$held]")
+        }
+    }
+
+    @Test
+    fun `a held report of a task that is done counts, also at a new leader`() {
+        rig.accept(plainJob(1))
+        placed(rig, "i-000001")
+        rig.run(2.secs)
+        val token = ByHand(rig, "i-000099").token()
+        rig.report("i-000001", 1, 5, token - 1, piece("ended", cause = "done"))
+        rig.run(2.secs)
+        assertContains(rig.stored(JobRecord.key(plainJob(1).jobId)).toString(), "done")
+    }
+
+    @Test
+    fun `a report older than the last frees nothing, also from an earlier session or attempt`() {
+        val stopped = piece("ended", cause = "stopped")
+        val olds =
+            listOf(
+                // As of the same session, before the task came.
+                Triple(2, 3, ""),
+                // From the session before, with higher ticks.
+                Triple(1, 90, ""),
+                Triple(1, 90, piece("ended", attempt = 2, cause = "error")),
+                // An earlier attempt's end, in a newer report.
+                Triple(2, 12, stopped + "," + piece("running", attempt = 2)),
+            )
+        for ((shift, tick, tasks) in olds) {
+            val rig = Rig()
+            rig.accept(plainJob(1))
+            placed(rig, "i-000001", attempt = 2, shift = 2)
+            rig.run(2.secs)
+            val token = ByHand(rig, "i-000099").token()
+            rig.report("i-000001", 2, 10, token, piece("running", attempt = 2))
+            rig.report("i-000001", shift, tick, token, tasks)
+            assertFalse("job-000001/0" in rig.startsElsewhere(token), "$shift $tick $tasks")
+            val answer = rig.report("i-000001", 2, 20, token, piece("running", attempt = 2))
+            assertFalse("halt" in answer, "$shift $tick $tasks")
+        }
+    }
+
+    @Test
+    fun `a report older than the last frees nothing when it comes through a relay`() {
+        for ((shift, tick) in listOf(2 to 3L, 1 to 90L)) {
+            val rig = Rig(listOf("n1"))
+            rig.accept(plainJob(1))
+            placed(rig, "i-000001", attempt = 2, shift = 2)
+            rig.run(2.secs)
+            val token = ByHand(rig, "i-000099").token()
+            rig.report("i-000001", 2, 10, token, piece("running", attempt = 2))
+            val old = FullReport(1, body("i-000001", shift, tick.toInt(), token))
+            // Whole, and then as a sign of life that is older still than the last.
+            for (sign in listOf(null, tick + 1)) {
+                val reports = if (sign == null) listOf(old) else emptyList()
+                val signs = if (sign == null) emptyList() else listOf(old.number, sign)
+                val batch = Batch("n1", "b", 1, token, 0, 0, reports, signs)
+                val answer = rig.call("POST", "/relay", RelayCodec.encode(batch), Port.PEER)
+                assertEquals(200, answer?.first)
+            }
+            assertFalse("job-000001/0" in rig.startsElsewhere(token), "session $shift")
+            val answer = rig.report("i-000001", 2, 20, token, piece("running", attempt = 2))
+            assertFalse("halt" in answer, "session $shift")
+        }
+    }
+
+    @Test
+    fun `a machine that a new leader hears of by an old report alone gets no work`() {
+        rig.accept(plainJob(1))
+        rig.run(2.secs)
+        val token = ByHand(rig, "i-000099").token()
+        rig.direct.clear()
+        // It is gone; this was on its way since before the change of leader.
+        repeat(4) {
+            val answer = rig.report("i-000007", 1, 5 + it, token - 1)
+            assertFalse("start" in answer)
+            rig.run(0.5.secs)
+        }
+        assertEquals(emptyList(), rig.direct.filter { "job-000001/0" in it })
+        assertContains(rig.startsElsewhere(token), "job-000001/0")
+    }
+
+    private companion object {
+        val TROUBLED = 60.secs
+    }
+}
--- a/src/test/kotlin/wardmux/sim/Rules.kt
+++ b/src/test/kotlin/wardmux/sim/Rules.kt
@@ -28,6 +28,9 @@
     var starts = 0
         private set
 
+    /** Of tasks whose machine has their result already: what was done had been lost track of. */
+    var startsOfDone = 0
+
     fun submitted(spec: JobSpec) {
         specs[spec.id] = spec
     }
@@ -181,6 +184,8 @@
 
     private val begun = HashSet<String>()
 
+    fun completedOf(job: String): Int = completed[job]?.size ?: 0
+
     fun allDone(job: String): Boolean = (completed[job]?.size ?: 0) == specs.getValue(job).tasks
 
     fun finalOf(job: String): String? = told[job]?.final
--- a/src/test/kotlin/wardmux/sim/StateStandIn.kt
+++ b/src/test/kotlin/wardmux/sim/StateStandIn.kt
@@ -20,6 +20,32 @@
 import wardmux.app.StateFacts
 import wardmux.millis
 
+/** A transaction that got no answer, with what its sender changed before it was carried out. */
+class LateTransaction(
+    private val transaction: JsonObject,
+    private val newer: List<JsonObject>,
+    /** The keys that it puts and that were there when it was carried out. */
+    private val present: Set<String>,
+    val status: Int,
+) {
+    val carriedOut: Boolean
+        get() = status == 200
+
+    /** It took the place of what was there. */
+    fun replaced(key: String) = carriedOut && key in present
+
+    fun changes(prefix: String) = changes(transaction, prefix)
+
+    /** A newer one of the same sender that changed such a key was carried out before it. */
+    fun overtakenBy(prefix: String) = newer.any { changes(it, prefix) }
+
+    private fun changes(of: JsonObject, prefix: String) =
+        of["then"]?.jsonArray.orEmpty().any { change ->
+            val key = change.jsonObject.let { it["put"] ?: it.getValue("remove") }
+            key.jsonPrimitive.content.startsWith(prefix)
+        }
+}
+
 /** The state service, written from PROTOCOL. */
 class StateStandIn(private val clock: Clockwork, private val facts: StateFacts) {
     private class Entry(val data: JsonElement, val stamp: Long, val lease: Long?)
@@ -43,6 +69,13 @@
     private val refused = HashSet<String?>()
     val problems = ArrayList<String>()
 
+    /** Which transactions get no answer and are carried out 2 to 12 s later. */
+    var late: (from: String, transaction: JsonObject) -> Boolean = { _, _ -> false }
+    val carriedOutLate = ArrayList<LateTransaction>()
+
+    /** What was changed for each member, in order. */
+    private val committed = HashMap<String, ArrayList<JsonObject>>()
+
     init {
         clock.every(50.millis) { expire() }
     }
@@ -96,7 +129,11 @@
         when {
             route == "/keys" -> page(query, answer)
             route.startsWith("/keys/") -> get(route.removePrefix("/keys/"), answer)
-            route == "/multi" -> multi(Json.parseToJsonElement(body).jsonObject, answer)
+            route == "/multi" -> {
+                val transaction = Json.parseToJsonElement(body).jsonObject
+                if (late(from, transaction)) carryOutLate(from, transaction)
+                else multi(from, transaction, answer)
+            }
             route == "/watch" -> watch(query, answer)
             route == "/leases" -> {
                 val life =
@@ -144,7 +181,24 @@
         answer(200, body.toString())
     }
 
-    private fun multi(json: JsonObject, answer: (Int, String) -> Unit) {
+    /** Nobody hears what becomes of it. */
+    private fun carryOutLate(from: String, transaction: JsonObject) {
+        val before = committed[from].orEmpty().size
+        clock.after(clock.between(2_000.millis, 12_000.millis)) {
+            if (null in refused || from in refused) return@after
+            val newer = committed[from].orEmpty().drop(before)
+            val put =
+                transaction["then"]?.jsonArray.orEmpty().mapNotNull {
+                    it.jsonObject["put"]?.jsonPrimitive?.content
+                }
+            val present = put.filter { it in keys }.toSet()
+            multi(from, transaction) { status, _ ->
+                carriedOutLate.add(LateTransaction(transaction, newer, present, status))
+            }
+        }
+    }
+
+    private fun multi(from: String, json: JsonObject, answer: (Int, String) -> Unit) {
         val conditions = json["if"]?.jsonArray ?: JsonArray(emptyList())
         val then = json["then"]?.jsonArray ?: JsonArray(emptyList())
         if (then.size > facts.txnOps) problems.add("${then.size} changes in a transaction")
@@ -169,7 +223,10 @@
             }
             return answer(409, body.toString())
         }
-        if (then.isNotEmpty()) revision++
+        if (then.isNotEmpty()) {
+            revision++
+            committed.getOrPut(from) { ArrayList() }.add(json)
+        }
         for (change in then.map { it.jsonObject }) {
             val key = (change["put"] ?: change.getValue("remove")).jsonPrimitive.content
             if ("put" in change) {
--- a/src/test/kotlin/wardmux/sim/WorkerStandIn.kt
+++ b/src/test/kotlin/wardmux/sim/WorkerStandIn.kt
@@ -223,7 +223,10 @@
     private fun run(task: Task, spec: JobSpec) {
         if (!present(task) || task.status != "fetching") return
         if (hanging) return clock.after(1.secs) { run(task, spec) }
-        if (task.name in results) return end(task, "done", false)
+        if (task.name in results) {
+            rules.startsOfDone++
+            return end(task, "done", false)
+        }
         task.status = "running"
         changed = true
         rules.started(clock.now, task.job, task.index, id, type, zone, spot)
