--- a/src/main/kotlin/wardmux/cloud/Hiring.kt
+++ b/src/main/kotlin/wardmux/cloud/Hiring.kt
@@ -1,5 +1,6 @@
 package wardmux.cloud
 
+import kotlin.math.ceil
 import wardmux.Desk
 import wardmux.MachineId
 import wardmux.Micros
@@ -230,7 +231,9 @@
                 if (slack + age(job) < type.bootS) continue
                 horizon = maxOf(horizon, slack * SLACK_PART)
             }
-            val part = tasks / type.fitting(spec).coerceAtLeast(1) * minOf(1.0, run / horizon)
+            val whole = tasks / type.fitting(spec).coerceAtLeast(1)
+            // What has no end never makes room for the rest: half a machine less is never hired.
+            val part = if (spec.estimateS > 0) whole * minOf(1.0, run / horizon) else ceil(whole)
             machines.merge(type.label, part, Double::plus)
         }
         return machines
--- a/src/main/kotlin/wardmux/lead/Leadership.kt
+++ b/src/main/kotlin/wardmux/lead/Leadership.kt
@@ -244,6 +244,8 @@
     private fun depose(leader: String?, token: Token?) {
         role = Role.Follower(leader, token)
         sureUntil = Micros.LONG_AGO
+        // Should the key still stand, it is not taken again: one token must not lead twice.
+        granted = null
         store.lead(false)
         listener.deposed()
     }
--- a/src/test/kotlin/wardmux/fleet/FleetTest.kt
+++ b/src/test/kotlin/wardmux/fleet/FleetTest.kt
@@ -152,7 +152,11 @@
         rig.directOutcome = Outcome.Response(200, report.encodeToByteArray())
         rig.outageOver()
         rig.accept(plainJob(1))
+        val starts = { rig.direct.count { "\"start\"" in it && "job-000001/0" in it } }
         rig.run(3.secs)
-        assertEquals(1, rig.direct.count { "\"start\"" in it && "job-000001/0" in it })
+        assertEquals(0, starts(), "started where no lease is renewed")
+        first.report(token)
+        rig.run(3.secs)
+        assertEquals(1, starts())
     }
 }
--- a/src/test/kotlin/wardmux/sim/Rules.kt
+++ b/src/test/kotlin/wardmux/sim/Rules.kt
@@ -49,6 +49,9 @@
     /** Called when the last task of a job that nobody called off has ended. */
     var whenAllDone: (String) -> Unit = {}
 
+    /** Of tasks whose machine has their result already: what was done had been lost track of. */
+    var startsOfDone = 0
+
     fun submitted(spec: JobSpec) {
         specs[spec.id] = spec
     }
@@ -315,6 +318,8 @@
 
     private val begun = HashSet<String>()
 
+    fun completedOf(job: String): Int = completed[job]?.size ?: 0
+
     fun allDone(job: String): Boolean = (completed[job]?.size ?: 0) == specs.getValue(job).tasks
 
     /** Which machine each task of [job] is on. */
