--- a/src/test/kotlin/wardmux/sim/RulesTest.kt
+++ b/src/test/kotlin/wardmux/sim/RulesTest.kt
@@ -8,6 +8,7 @@
 import wardmux.app.TeamFacts
 import wardmux.app.WorkerFacts
 import wardmux.intake.JobSpec
+import wardmux.intake.Shape
 import wardmux.secs
 
 /** Each rule is broken on purpose: a checker that cannot fail checks nothing. */
@@ -289,6 +290,8 @@
         assertEquals(emptyList(), watchRooms(bound, room(), elsewhere))
         val half = room(8.0, job to 0)
         assertEquals(emptyList(), watchRooms(spec(2).copy(spread = true), half))
+        val replicas = spec(2).copy(spread = true, shape = Shape.DAEMON)
+        assertEquals(emptyList(), watchRooms(replicas, room()))
     }
 
     @Test
@@ -358,6 +361,8 @@
         rules.whenAllDone = { ended.add(it) }
         rules.submitted(spec(2))
         rules.submitted(spec(1).copy(id = "job-000002"))
+        told("POST", 201, "queued")
+        rules.told(1.secs, "job-000002", "POST", 201, "queued")
         rules.askedToCancel("job-000002")
         rules.ended(job, 0, "m1", done = true)
         rules.ended("job-000002", 0, "m1", done = true)
