The simulated world carries what controllers answer each other as bytes

Cause: answers were carried as text, and CBOR is none: every answer of a leader to a relay's batch, and to a beat, arrived spoilt. Found when a test of this issue saw a leader that hears all its siblings let every lease run out.

Ruled out: the knowledge of cancellations itself (CancellationsTest, by the rig, which always carried bytes).

--- a/src/test/kotlin/wardmux/sim/World.kt
+++ b/src/test/kotlin/wardmux/sim/World.kt
@@ -86,7 +86,7 @@
 
         val drift = 1.0 + clock.random.nextDouble(-0.0005, 0.0005)
         val offset = clock.between(Micros.ZERO, 100.millis)
-        val answers = HashMap<Long, (Int, String) -> Unit>()
+        val answers = HashMap<Long, (Int, ByteArray) -> Unit>()
         val core = Controller(settings(member), operators, "${++boots}")
         var alive = true
 
@@ -123,8 +123,7 @@
 
         private fun perform(effect: Effect) {
             when (effect) {
-                is Effect.Answer ->
-                    answers.remove(effect.id)?.invoke(effect.status, effect.body.decodeToString())
+                is Effect.Answer -> answers.remove(effect.id)?.invoke(effect.status, effect.body)
                 is Effect.Send -> send(effect)
             }
         }
@@ -135,16 +134,12 @@
                 if (!over) feed(Input.Reply(effect.id, Outcome.Unknown))
                 over = true
             }
-            val back = { status: Int, body: String ->
+            // As bytes: what controllers tell each other is no text.
+            val back = { status: Int, body: ByteArray ->
                 val answer = {
                     if (!over) {
                         over = true
-                        feed(
-                            Input.Reply(
-                                effect.id,
-                                Outcome.Response(status, body.encodeToByteArray()),
-                            )
-                        )
+                        feed(Input.Reply(effect.id, Outcome.Response(status, body)))
                     }
                 }
                 network.send(hostOf(effect.target), member, answer)
@@ -156,8 +151,9 @@
             }
         }
 
-        private fun arrive(effect: Effect.Send, back: (Int, String) -> Unit) {
+        private fun arrive(effect: Effect.Send, answer: (Int, ByteArray) -> Unit) {
             val body = effect.body.decodeToString()
+            val back = { status: Int, text: String -> answer(status, text.encodeToByteArray()) }
             when (val target = effect.target) {
                 is Target.State -> state.handle(member, effect.method, effect.path, body, back)
                 is Target.Cloud -> cloud.handle(effect.method, effect.path, body, back)
@@ -168,7 +164,7 @@
                     else clock.after(late) { deliver(workers[host], effect.path, body, back) }
                 }
                 is Target.Sibling ->
-                    call(target.member, Port.PEER, effect.method, effect.path, effect.body, back)
+                    call(target.member, Port.PEER, effect.method, effect.path, effect.body, answer)
             }
         }
     }
@@ -213,7 +209,7 @@
         method: String,
         path: String,
         body: ByteArray,
-        answer: (Int, String) -> Unit,
+        answer: (Int, ByteArray) -> Unit,
     ) {
         val process = running[member]?.takeIf { it.alive } ?: return
         val id = ++calls
@@ -228,7 +224,7 @@
         network.reportAgain(again)
         network.send(id, node) {
             call(node, Port.API, "POST", "/hello", body.encodeToByteArray()) { status, text ->
-                network.send(node, id) { answer(status, text) }
+                network.send(node, id) { answer(status, text.decodeToString()) }
             }
         }
     }
@@ -300,7 +296,7 @@
         network.send("user", node) {
             call(node, Port.API, method, path, body) { status, text ->
                 network.send(node, "user") {
-                    if (!over) then(status, text)
+                    if (!over) then(status, text.decodeToString())
                     over = true
                 }
             }
