A late start is one that came after its user was told: the outage test asks for just that

The test took a start for held up only if no task of the job had gone out by any way; a report's answer is one, and no fault. It now asks that some are missing, and that at least one came after the cancellation had been confirmed, where before any start of any job would do.

--- a/src/test/kotlin/wardmux/sim/OutageMeetingsTest.kt
+++ b/src/test/kotlin/wardmux/sim/OutageMeetingsTest.kt
@@ -173,12 +173,11 @@
                 world.lateOrders[worker.id] = clock.between(4.secs, 13.secs)
             }
             submit(1)
-            // Decided on, written and sent, but not there.
+            // Decided on, written and sent, but not there; some go out with a report's answer.
             runFor(1500.millis)
-            assertEquals(0, rules.placesOf(jobs.last()).size)
-            val before = rules.starts
+            assertTrue(rules.placesOf(jobs.last()).size < TASKS)
             gap(way, count = 1)
-            assertTrue(rules.starts > before, "it was carried out late")
+            assertTrue(rules.startsAfterCancel > 0, "it was carried out late")
         }
 
     @ParameterizedTest
