--- a/src/main/kotlin/wardmux/app/Settings.kt
+++ b/src/main/kotlin/wardmux/app/Settings.kt
@@ -67,6 +67,10 @@
     @SerialName("report_s") val reportS: Double,
     @SerialName("lease_s") val leaseS: Double,
     @SerialName("cancel_s") val cancelS: Double,
+    /** How long a task of a gang waits for the others. */
+    @SerialName("gang_wait_s") val gangWaitS: Double = 30.0,
+    /** Within this the tasks of a gang notice that one is gone. */
+    @SerialName("gang_peer_s") val gangPeerS: Double = 5.0,
 )
 
 @Serializable
--- a/src/main/kotlin/wardmux/cloud/Hiring.kt
+++ b/src/main/kotlin/wardmux/cloud/Hiring.kt
@@ -155,6 +155,7 @@
      */
     private fun hireFor(job: Job, known: List<MachineType>) {
         if (job.atFault) return
+        if (job.spec.isGang && job.spec.oneZone) return hireInOneZone(job, known)
         val there =
             cluster.machines.values.any {
                 !it.condemned &&
@@ -177,6 +178,33 @@
         }
     }
 
+    /** As much as the gang lacks in the zone where it lacks least; what is spread is of no use. */
+    private fun hireInOneZone(job: Job, known: List<MachineType>) {
+        val spec = job.spec
+        val type = known.filter { it.allowedFor(spec) }.minByOrNull { it.cpus } ?: return
+        val choices =
+            listOf(true, false).flatMap { spot ->
+                openZones(type, spot)
+                    .filter { planner.suits(job, type, it, spot) }
+                    .map { zone ->
+                        val coming =
+                            hiring.values.filter { it.zone == zone }.sumOf { it.count } +
+                                cluster.machines.values.count {
+                                    it.zone == zone && !it.up && !it.condemned
+                                }
+                        val room =
+                            cluster.machines.values
+                                .filter { it.zone == zone && planner.usable(it) }
+                                .filter { planner.allowed(spec, it) }
+                                .sumOf { it.roomFor(spec) }
+                        Kind(type.label, zone, spot) to room + coming * type.fitting(spec)
+                    }
+            }
+        val (kind, room) = choices.maxByOrNull { it.second } ?: return
+        val missing = ceil((spec.tasks - room).toDouble() / type.fitting(spec).coerceAtLeast(1))
+        if (missing > 0 && cloud.ready()) order(kind, minOf(missing.toInt(), MOST_AT_ONCE))
+    }
+
     /** Zones where this kind was not refused lately, those with the fewest such machines first. */
     private fun openZones(type: MachineType, spot: Boolean): List<String> =
         type.zones
@@ -233,7 +261,10 @@
             }
             val whole = tasks / type.fitting(spec).coerceAtLeast(1)
             // What has no end never makes room for the rest: half a machine less is never hired.
-            val part = if (spec.estimateS > 0) whole * minOf(1.0, run / horizon) else ceil(whole)
+            // A gang needs all its room at once.
+            val part =
+                if (spec.estimateS > 0 && !spec.isGang) whole * minOf(1.0, run / horizon)
+                else ceil(whole)
             machines.merge(type.label, part, Double::plus)
         }
         return machines
--- a/src/main/kotlin/wardmux/dispatch/Cluster.kt
+++ b/src/main/kotlin/wardmux/dispatch/Cluster.kt
@@ -126,9 +126,26 @@
         )
         unbook(placement)
         placement.job.release(placement, desk.wall)
+        val gang = placement.job.gang
+        if (gang != null && gang.ran && !placement.job.complete) breakAttempt(placement.job)
         changed()
     }
 
+    /**
+     * Nothing comes of the gang's attempt any more. What is left of it is stopped: its tasks would
+     * find out by themselves, but later.
+     */
+    fun breakAttempt(job: Job) {
+        val gang = job.gang ?: return
+        gang.broken = true
+        for (placement in job.placements.values) {
+            if (placement.haltWithin == Micros.ZERO) continue
+            placement.haltWithin = Micros.ZERO
+            placement.haltSent = false
+            machines[placement.machine]?.let { due.add(it) }
+        }
+    }
+
     /** The placement's record was surely not written. */
     fun undo(placement: Placement) {
         if (placement.job.placements.get(placement.task.index) !== placement) return
@@ -163,10 +180,16 @@
             estimates.learn(job.spec, ran)
             queue.correct(job.spec.team, placement.charge, cost(job.spec, ran), desk.wall)
         }
-        job.complete(placement.task.index, desk.wall)
+        complete(job, placement.task.index)
         release(placement, "done")
     }
 
+    /** The tasks of a gang complete together: one that is done says it of all. */
+    fun complete(job: Job, task: Int) {
+        if (!job.spec.isGang) return job.complete(task, desk.wall)
+        for (each in 0 until job.spec.tasks) job.complete(each, desk.wall)
+    }
+
     /** Everything on the machine is proven gone. */
     fun clear(machine: Machine, why: String) {
         for (placement in machine.placements.values.toList()) release(placement, why)
--- a/src/main/kotlin/wardmux/dispatch/Job.kt
+++ b/src/main/kotlin/wardmux/dispatch/Job.kt
@@ -25,6 +25,17 @@
     val spot: Boolean,
 )
 
+/** One try of a gang as a whole. */
+class GangAttempt(
+    val number: Int,
+    val since: Micros,
+    /** All had gathered once: without one of them the others can't go on. */
+    var ran: Boolean = false,
+) {
+    /** It comes to nothing any more: what is left of it has to be gone before the next. */
+    var broken = false
+}
+
 /**
  * A job with its tasks: one class of like work. Waiting tasks are those never tried, in order, and
  * then those that came back; a large job costs no more here than a small one.
@@ -89,7 +100,27 @@
         get() = done.cardinality()
 
     val waiting: Int
-        get() = if (over) 0 else spec.tasks - done.cardinality() - placements.size
+        get() =
+            if (over) 0
+            // Of a gang all are done at once, those on their machines too.
+            else (spec.tasks - done.cardinality() - placements.size).coerceAtLeast(0)
+
+    /** The gang's attempt that is out, or was last. */
+    var gang: GangAttempt? = null
+        private set
+
+    /** All tasks of a gang get one number, larger than any before. */
+    fun beginAttempt(now: Micros) {
+        gang = GangAttempt((attempts.values.maxOrNull() ?: 0) + 1, now)
+    }
+
+    /** What would be started without the others is not started: all have to be recorded. */
+    val mayStart: Boolean
+        get() =
+            !spec.isGang ||
+                (gang?.broken == false &&
+                    placements.size == spec.tasks &&
+                    placements.values.all { it.committed })
 
     val complete: Boolean
         get() = done.cardinality() == spec.tasks
@@ -123,7 +154,7 @@
 
     private fun free(task: Int) = !done.get(task) && !placements.containsKey(task)
 
-    fun nextAttempt(task: Int) = attempts.get(task) + 1
+    fun nextAttempt(task: Int) = gang?.number ?: (attempts.get(task) + 1)
 
     fun place(placement: Placement, wall: Micros) {
         placements.put(placement.task.index, placement)
@@ -260,6 +291,8 @@
             placement.restored = true
             placements.put(placement.task.index, placement)
             attempts.put(placement.task.index, placement.attempt)
+            // How far it came is not known, so nothing of it is replaced.
+            if (spec.isGang) gang = GangAttempt(placement.attempt, Micros.LONG_AGO, ran = true)
         }
     }
 
--- a/src/main/kotlin/wardmux/dispatch/Ledger.kt
+++ b/src/main/kotlin/wardmux/dispatch/Ledger.kt
@@ -23,12 +23,26 @@
 import wardmux.store.StateStore
 
 /** The pages that one write still takes, for the planner: what can't be written isn't placed. */
-class Admission(private var left: Int) {
+class Admission(private val most: Int) {
+    private var left = most
     private val pages = HashMap<JobId, IntOpenHashSet>()
 
     /** True if no task of the job can be admitted, whichever it is, as none of its pages is. */
     fun closedTo(job: Job) = left <= 0 && job.id !in pages
 
+    /**
+     * Takes all pages of a gang, or none. One that needs more than a write holds is written in
+     * several, before any of its starts goes out; it begins only where nothing else was taken yet.
+     */
+    fun admitsWhole(job: Job): Boolean {
+        val own = pages.getOrPut(job.id) { IntOpenHashSet() }
+        val needed = (0..(job.spec.tasks - 1) / job.pageSize).filter { it !in own }
+        if (needed.size > left && left < most) return false
+        left = maxOf(0, left - needed.size)
+        own.addAll(needed)
+        return true
+    }
+
     fun admits(job: Job, task: Int): Boolean {
         val page = task / job.pageSize
         val own = pages[job.id]
--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -3,6 +3,7 @@
 import java.util.PriorityQueue
 import wardmux.Desk
 import wardmux.JobId
+import wardmux.MachineId
 import wardmux.Micros
 import wardmux.app.ObjectiveFacts
 import wardmux.app.OperatorSettings
@@ -49,6 +50,7 @@
             if (cluster.jobs.values.all { it.placements.isEmpty() }) cluster.queue.idle()
             return
         }
+        reserve(ready)
         held = ready.filter { isOverdue(it) }.mapNotNullTo(HashSet()) { exactFor(it.spec) }
         val round = Round(cluster.machines.values.filter { usable(it) }, admission)
         val scarce = cluster.jobs.values.any { isShortOfRoom(it) }
@@ -97,13 +99,14 @@
             return found
         }
 
-        private fun candidates(job: Job): List<Machine> {
+        fun candidates(job: Job): List<Machine> {
             val spec = job.spec
             val own = exactFor(spec)
             looks += round.open.size
             return round.open.filter { machine ->
                 val label = machine.type.label
                 (label == own || (!exact && label !in held)) &&
+                    (machine.id !in reserved || job.id == reservedFor) &&
                     allowed(spec, machine) &&
                     machine.fits(spec) &&
                     (machine.id !in job.failedOn || round.usable <= job.failedOn.size)
@@ -201,9 +204,12 @@
     }
 
     private fun placeNext(job: Job, pass: Pass): Placement? {
+        if (pass.round.admission.closedTo(job)) return null
+        return placeNext(job, pass, pass.seatsFor(job) ?: return null)
+    }
+
+    private fun placeNext(job: Job, pass: Pass, seats: Seats): Placement? {
         val admission = pass.round.admission
-        if (admission.closedTo(job)) return null
-        val seats = pass.seatsFor(job) ?: return null
         val machine = seats.best() ?: return null
         val task = job.takeWaiting()
         if (task < 0) return null
@@ -218,25 +224,105 @@
     }
 
     /**
-     * A gang goes as one unit, once room and cap fit all of it. What is still out of an earlier try
-     * is taken down first: its tasks are of no use without the others.
+     * A gang goes as one unit, once room and cap fit all of it. A task that was lost before the
+     * others began is replaced while they still wait long enough; otherwise the whole gang begins
+     * again, once nothing of its last attempt can be on a machine any more.
      */
     private fun placeGang(job: Job, pass: Pass): Boolean {
-        if (job.waiting <= 0) return false
-        if (job.placements.isNotEmpty()) {
-            for (placement in job.placements.values) {
-                if (placement.committed && !placement.halting) stop(placement, "its gang is broken")
-            }
+        if (job.waiting <= 0 || cluster.headroom(job.spec) < job.waiting) return false
+        val out = job.placements.isNotEmpty()
+        if (out && job.gang?.let { mayReplaceIn(it) } != true) {
+            cluster.breakAttempt(job)
             return false
         }
-        if (cluster.headroom(job.spec) < job.waiting) return false
+        val machines = gangMachines(job, pass) ?: return false
+        if (!pass.round.admission.admitsWhole(job)) return false
+        if (!out) job.beginAttempt(desk.now)
+        val seats = Seats(job, machines)
         val placed = ArrayList<Placement>()
-        while (job.waiting > 0) placed.add(placeNext(job, pass) ?: break)
-        if (job.waiting == 0) return false
-        for (placement in placed) cluster.undo(placement)
+        while (job.waiting > 0) placed.add(placeNext(job, pass, seats) ?: break)
+        if (job.waiting > 0) for (placement in placed) cluster.undo(placement)
         return false
     }
 
+    private fun mayReplaceIn(gang: GangAttempt): Boolean {
+        val longest = (workers.gangWaitS * REPLACED_PART).secs
+        return !gang.broken && !gang.ran && desk.now - gang.since < longest
+    }
+
+    /**
+     * Machines with room for all that waits of the gang, in one zone if they have to be: the zone
+     * where it starts soonest and cheapest. Null if there is not enough room together.
+     */
+    private fun gangMachines(job: Job, pass: Pass): List<Machine>? {
+        val spec = job.spec
+        val zones = zonesOf(job)
+        val open = pass.candidates(job).filter { mayGoTo(it.zone, spec, zones) }
+        val groups = if (spec.oneZone) open.groupBy { it.zone }.values else listOf(open)
+        return groups
+            .mapNotNull { group -> gangScore(job, group)?.let { group to it } }
+            .minByOrNull { it.second }
+            ?.first
+    }
+
+    /** What its tasks' places score together, or null if they do not all fit. */
+    private fun gangScore(job: Job, machines: List<Machine>): Double? {
+        var left = job.waiting
+        var total = 0.0
+        val zones = HashMap(zonesOf(job))
+        for ((machine, score) in
+            machines.map { it to score(job.spec, it) }.sortedBy { it.second }) {
+            val there = zones.getOrDefault(machine.zone, 0)
+            val allowed = if (job.spec.spread) job.spec.zoneLimit - there else left
+            val here = minOf(left, machine.roomFor(job.spec), allowed)
+            zones[machine.zone] = there + here
+            total += score * here
+            left -= here
+            if (left == 0) return total
+        }
+        return null
+    }
+
+    /** Machines where a gang that waits too long gathers room: nothing else goes there. */
+    private var reserved: Set<MachineId> = emptySet()
+    private var reservedFor: JobId? = null
+
+    /**
+     * Of room that comes free bit by bit small tasks would take each bit. The gang that has waited
+     * longest gets enough machines for it alone, in one zone if it has to be, those that have the
+     * most room; one gang at a time, so that two never hold what the other lacks.
+     */
+    private fun reserve(ready: List<Job>) {
+        val waiting = ready.filter { it.spec.isGang && isShortOfRoom(it) }
+        val gang = waiting.minByOrNull { it.acceptedAt.value }
+        if (gang == null) {
+            reserved = emptySet()
+            reservedFor = null
+            return
+        }
+        val usable = cluster.machines.values.filter { usable(it) && allowed(gang.spec, it) }
+        val kept = usable.filter { it.id in reserved }
+        if (gang.id == reservedFor && holdsAll(gang, kept)) return
+        reservedFor = gang.id
+        val groups = if (gang.spec.oneZone) usable.groupBy { it.zone }.values else listOf(usable)
+        val choices =
+            groups.mapNotNull { group ->
+                val sorted = group.sortedByDescending { it.roomFor(gang.spec) }
+                val count = (1..sorted.size).firstOrNull { holdsAll(gang, sorted.take(it)) }
+                count?.let { sorted.take(it) }
+            }
+        // Where the least has to come free.
+        reserved =
+            choices
+                .maxByOrNull { chosen -> chosen.sumOf { it.roomFor(gang.spec) } }
+                .orEmpty()
+                .mapTo(HashSet()) { it.id }
+    }
+
+    /** These machines, were they empty, would take all of the gang. */
+    private fun holdsAll(job: Job, machines: List<Machine>) =
+        machines.sumOf { it.type.fitting(job.spec) } >= job.spec.tasks
+
     /** True if new tasks may go to the machine. */
     fun usable(machine: Machine): Boolean {
         val heardAt = machine.heardAt ?: return false
@@ -299,19 +385,41 @@
             (machine.freeCpus - spec.cpus) / machine.type.cpus
     }
 
+    /** Of a gang all are stopped: those not told in time spoil what the others save. */
     fun stop(victim: Placement, why: String) {
+        if (victim.job.spec.isGang) return stopGang(victim.job, why)
         val spec = victim.job.spec
         val save = spec.savable && victim.status == TaskStatus.RUNNING
-        victim.haltWithin = if (save) (spec.saveS + SAVE_MARGIN_S).secs else Micros.ZERO
+        halt(victim, if (save) (spec.saveS + SAVE_MARGIN_S).secs else Micros.ZERO)
+        log.info("stopping {} on {}: {}", victim.task, victim.machine, why)
+    }
+
+    private fun stopGang(job: Job, why: String) {
+        val spec = job.spec
+        val save = spec.savable && job.placements.values.all { it.status == TaskStatus.RUNNING }
+        if (!save) cluster.breakAttempt(job)
+        else {
+            val within = (spec.saveS + SAVE_MARGIN_S + workers.gangPeerS).secs
+            for (placement in job.placements.values) halt(placement, within)
+        }
+        log.info("stopping all {} tasks of {}: {}", job.placements.size, job.id, why)
+    }
+
+    private fun halt(victim: Placement, within: Micros) {
+        victim.haltWithin = within
         victim.haltSent = false
         cluster.machines[victim.machine]?.let { cluster.due.add(it) }
-        log.info("stopping {} on {}: {}", victim.task, victim.machine, why)
     }
 
     private companion object {
         const val FETCH_WEIGHT = 0.5
         const val DEAR_WEIGHT = 0.5
         const val SAVE_MARGIN_S = 1.0
+
+        /**
+         * Of the time that a gang's tasks wait for each other: in the rest an image has to come.
+         */
+        const val REPLACED_PART = 0.4
         val SCARCE_AFTER = 4.secs
         val UNANSWERED = 1.secs
     }
--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -254,6 +254,7 @@
     private fun progressed(machine: Machine, placement: Placement, status: TaskStatus) {
         if (status == TaskStatus.RUNNING && placement.runningSince == null) {
             placement.runningSince = desk.now
+            placement.job.gang?.ran = true
             log.debug("{} runs on {}", placement.task, machine.id)
         }
         placement.status = status
@@ -273,6 +274,8 @@
         val job = placement.job
         // A copy from before this leader's time frees nothing; what is done stays done.
         if (reported.cause != "done" && report.token != token.value) return
+        // The others wait or run for nothing.
+        if (reported.cause != "done" && !job.complete) cluster.breakAttempt(job)
         when (reported.cause) {
             "done" -> {
                 machine.failures.clear()
@@ -284,6 +287,9 @@
                 failed(machine, job)
             }
             "stopped" -> cluster.release(placement, "stopped")
+            // Another task of its gang is gone or was not there in time; nothing is at fault here.
+            "peers",
+            "alone" -> cluster.release(placement, "its gang is not whole")
             else -> {
                 log.info("{} was refused by {}: {}", placement.task, machine.id, reported.cause)
                 cluster.release(placement, "refused")
@@ -314,7 +320,7 @@
         if (reported.cause != "done" || job.over || job.isDone(task.index)) return
         if (task.index !in 0 until job.spec.tasks) return
         if (job.placements.containsKey(task.index)) return
-        job.complete(task.index, desk.wall)
+        cluster.complete(job, task.index)
         cluster.changed()
     }
 
@@ -355,7 +361,8 @@
             !placement.restored &&
             placement.shift == machine.shift &&
             !placement.halting &&
-            !placement.job.over
+            !placement.job.over &&
+            placement.job.mayStart
 
     /** Asks a machine for its state; [silent] if it does not answer. */
     fun ask(machine: Machine, within: Micros, silent: () -> Unit) {
@@ -406,7 +413,7 @@
                 placement.haltSent = true
             } else if (!placement.startSent && startable(machine, placement) && sure()) {
                 if (starts.size < MAX_DIRECT) starts.add(placement) else waits = true
-            } else if (!placement.committed) {
+            } else if (!placement.committed || !placement.startSent && !placement.job.mayStart) {
                 waits = true
             }
         }
--- a/src/main/kotlin/wardmux/fleet/Machine.kt
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -148,6 +148,20 @@
             spec.memoryGb <= type.memoryGb - usedMemory - strayMemory + slack
     }
 
+    /** How many tasks like this it has room for now. */
+    fun roomFor(spec: JobSpec): Int {
+        val slack = MachineType.EPSILON
+        val byCpu = if (spec.cpus > 0) (freeCpus + slack) / spec.cpus else Double.MAX_VALUE
+        val byGpu =
+            if (spec.gpus > 0) (type.gpus - usedGpus - strayGpus + slack) / spec.gpus
+            else Double.MAX_VALUE
+        val byMemory =
+            if (spec.memoryGb > 0) {
+                (type.memoryGb - usedMemory - strayMemory + slack) / spec.memoryGb
+            } else Double.MAX_VALUE
+        return minOf(byCpu, byGpu, byMemory).coerceIn(0.0, 10_000.0).toInt()
+    }
+
     fun add(placement: Placement) {
         placements[placement.name] = placement
         book(placement.job.spec, 1)
--- a/src/main/kotlin/wardmux/intake/JobSpec.kt
+++ b/src/main/kotlin/wardmux/intake/JobSpec.kt
@@ -61,6 +61,9 @@
     val estimate: Micros
         get() = estimateS.secs
 
+    val isGang: Boolean
+        get() = shape == Shape.GANG
+
     val savable: Boolean
         get() = checkpointS > 0
 
