The simulated world knows gangs: they gather, run, save and fail as one

Gangs is a registry over all machines: tasks of a job find each other by their attempt, begin together, run at one speed, complete together, fall back to multiples of the savepoint, and save only if all are told in time.

--- /dev/null
+++ b/src/test/kotlin/wardmux/sim/GangsTest.kt
@@ -0,0 +1,257 @@
+package wardmux.sim
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import wardmux.app.TeamFacts
+import wardmux.app.WorkerFacts
+import wardmux.intake.JobSpec
+import wardmux.intake.Shape
+import wardmux.secs
+
+/** The stand-in workers do with gangs what the page says, for worlds that rely on it. */
+class GangsTest {
+    private val clock = Clockwork(7)
+    private val rules = Rules(listOf(TeamFacts("team-0", 100.0, 100.0)), 36.secs)
+    private val gangs = Gangs(clock, rules)
+    private val job = "job-000001"
+    private val spec =
+        plainJob(3, job)
+            .copy(shape = Shape.GANG, estimateS = 10_000.0, checkpointS = 20.0, saveS = 2.0)
+    private var specNow: JobSpec = spec
+    private val facts = WorkerFacts(reportS = 2.5, leaseS = 16.0, cancelS = 36.0)
+    private val workers =
+        List(4) {
+            WorkerStandIn(
+                "m$it",
+                "mid",
+                "a",
+                false,
+                clock,
+                facts,
+                listOf("n0"),
+                rules,
+                { specNow },
+                gangs,
+            ) { _, _, answer ->
+                answer(200, """{"baton":1,"orders":[]}""")
+            }
+        }
+
+    init {
+        rules.submitted(spec)
+        // Each has its leader's token.
+        clock.run(4.secs) {}
+    }
+
+    private fun order(worker: Int, order: String) {
+        assertEquals(
+            200,
+            workers[worker].direct("""{"baton":1,"shift":1,"orders":[$order]}""")?.first,
+        )
+    }
+
+    private fun start(worker: Int, task: Int = worker, attempt: Int = 1) =
+        order(worker, """{"verb":"start","piece":"$job/$task","try":$attempt}""")
+
+    private fun halt(worker: Int, within: Double, attempt: Int = 1) =
+        order(worker, """{"verb":"halt","piece":"$job/$worker","try":$attempt,"letgo_s":$within}""")
+
+    /** Status, cause and whether it was kept of the last task on the machine. */
+    private fun stateOf(worker: Int): String {
+        val report = Json.parseToJsonElement(workers[worker].reportBody()).jsonObject
+        val task = report.getValue("pieces").jsonArray.last().jsonObject
+        return listOf("status", "cause", "kept")
+            .mapNotNull { task[it]?.jsonPrimitive?.content }
+            .joinToString(" ")
+    }
+
+    private fun states(vararg of: Int) = of.map(::stateOf)
+
+    private fun wait(seconds: Double) = clock.run(clock.now + seconds.secs) {}
+
+    private fun runAll(attempt: Int = 1) {
+        for (worker in 0..2) start(worker, attempt = attempt)
+        wait(3.2)
+        assertEquals(List(3) { "running" }, states(0, 1, 2))
+    }
+
+    @Test
+    fun `a task gathers until the last has its image, and is on its machine meanwhile`() {
+        start(0)
+        start(1)
+        wait(10.0)
+        assertEquals(List(2) { "gathering" }, states(0, 1))
+        assertEquals(mapOf(0 to "m0", 1 to "m1"), rules.placesOf(job))
+        assertEquals(0, rules.gangsBegun)
+        start(2)
+        wait(3.2)
+        assertEquals(List(3) { "running" }, states(0, 1, 2))
+        assertEquals(1, rules.gangsBegun)
+        assertEquals(emptyList(), rules.broken)
+    }
+
+    @Test
+    fun `tasks of two attempts make no gang, and each is left alone`() {
+        start(0)
+        start(1)
+        start(2, attempt = 2)
+        wait(34.0)
+        assertEquals(List(3) { "gathering" }, states(0, 1, 2))
+        wait(5.0)
+        assertEquals(List(3) { "ended alone" }, states(0, 1, 2))
+        assertEquals(emptyMap(), rules.placesOf(job))
+        assertEquals(0, rules.gangsBegun)
+    }
+
+    @Test
+    fun `the rest wait on for one that is gone, and its replacement completes the gang`() {
+        start(0)
+        start(1)
+        wait(5.0)
+        workers[1].die()
+        wait(10.0)
+        start(2)
+        wait(5.0)
+        assertEquals(List(2) { "gathering" }, states(0, 2))
+        start(3, task = 1)
+        wait(3.2)
+        assertEquals(List(3) { "running" }, states(0, 2, 3))
+    }
+
+    @Test
+    fun `one that gathers exits at once when it is stopped`() {
+        start(0)
+        start(1)
+        wait(5.0)
+        halt(0, 10.0)
+        assertEquals(listOf("ended stopped", "gathering"), states(0, 1))
+    }
+
+    @Test
+    fun `a running gang notices that one is gone, and falls back to its last checkpoint`() {
+        runAll()
+        wait(47.0)
+        workers[1].die()
+        assertEquals(List(2) { "running" }, states(0, 2))
+        wait(6.0)
+        assertEquals(List(2) { "ended peers" }, states(0, 2))
+        assertEquals(40.secs, gangs.savedOf(job))
+    }
+
+    @Test
+    fun `one that hangs is taken for gone, and exits when it goes on`() {
+        runAll()
+        workers[1].hanging = true
+        wait(5.0)
+        assertEquals(List(2) { "running" }, states(0, 2))
+        wait(1.3)
+        assertEquals(List(2) { "ended peers" }, states(0, 2))
+        assertEquals("running", stateOf(1))
+        workers[1].hanging = false
+        wait(0.2)
+        assertEquals("ended peers", stateOf(1))
+    }
+
+    @Test
+    fun `a short hang only holds all of them up`() {
+        runAll()
+        workers[1].hanging = true
+        wait(4.0)
+        workers[1].hanging = false
+        wait(10.0)
+        assertEquals(List(3) { "running" }, states(0, 1, 2))
+    }
+
+    @Test
+    fun `a gang that is told in time saves as one`() {
+        runAll()
+        wait(30.0)
+        halt(0, 2.0)
+        wait(5.5)
+        // It has saved, and waits for the others; to the outside it still runs.
+        assertEquals(List(3) { "running" }, states(0, 1, 2))
+        halt(1, 2.0)
+        halt(2, 10.0)
+        wait(0.2)
+        assertEquals(listOf("ended stopped true", "running", "running"), states(0, 1, 2))
+        // Safe from now, whatever becomes of the others.
+        val kept = gangs.savedOf(job)
+        assertTrue(kept > 29.secs && kept < 33.secs, "$kept")
+        workers[2].die()
+        wait(2.0)
+        assertEquals(listOf("ended stopped true", "ended stopped true"), states(0, 1))
+        assertEquals(kept, gangs.savedOf(job))
+    }
+
+    @Test
+    fun `those that are not told in time lose the save`() {
+        runAll()
+        wait(30.0)
+        halt(0, 2.0)
+        halt(1, 2.0)
+        wait(6.1)
+        assertEquals(listOf("ended stopped", "ended stopped", "ended peers"), states(0, 1, 2))
+        assertEquals(20.secs, gangs.savedOf(job))
+    }
+
+    @Test
+    fun `so does one that is gone before the first exits, or stopped with too little grace`() {
+        runAll()
+        wait(30.0)
+        for (worker in 0..2) halt(worker, 2.0)
+        wait(1.0)
+        workers[2].die()
+        wait(6.0)
+        assertEquals(List(2) { "ended peers" }, states(0, 1))
+        assertEquals(20.secs, gangs.savedOf(job))
+    }
+
+    @Test
+    fun `too little grace for one loses the save of all`() {
+        runAll()
+        wait(30.0)
+        halt(0, 2.0)
+        halt(1, 1.9)
+        assertEquals("ended stopped", stateOf(1))
+        wait(6.0)
+        assertEquals(listOf("ended peers", "ended peers"), states(0, 2))
+        assertEquals(20.secs, gangs.savedOf(job))
+    }
+
+    @Test
+    fun `the next attempt goes on from what was saved, and all complete together`() {
+        specNow = spec.copy(estimateS = 60.0)
+        runAll()
+        var attempt = 1
+        while (stateOf(0) == "running") {
+            assertTrue(attempt < 30, "no progress is kept")
+            for (worker in 0..2) halt(worker, 2.0, attempt)
+            wait(2.2)
+            if (!stateOf(0).startsWith("ended stopped true")) break
+            attempt++
+            for (worker in 0..2) start(worker, attempt = attempt)
+            wait(9.0)
+        }
+        assertEquals(List(3) { "ended done" }, states(0, 1, 2))
+        assertTrue(attempt > 2, "in $attempt attempts")
+        assertEquals(3, rules.completedOf(job))
+        // The result is kept.
+        start(3, task = 1, attempt = 99)
+        wait(3.2)
+        assertEquals("ended done", stateOf(3))
+        assertEquals(emptyList(), rules.broken)
+    }
+
+    @Test
+    fun `one that fails takes the others with it`() {
+        workers[2].sick = true
+        runAll()
+        wait(8.0)
+        assertEquals(listOf("ended peers", "ended peers", "ended error"), states(0, 1, 2))
+    }
+}
--- a/src/test/kotlin/wardmux/sim/World.kt
+++ b/src/test/kotlin/wardmux/sim/World.kt
@@ -35,6 +35,8 @@
     private val operators: OperatorSettings = OperatorSettings(),
     /** Some machines are up at the start. */
     rented: Boolean = true,
+    gangWaitS: Double = 35.0,
+    gangPeerS: Double = 6.0,
 ) {
     val clock = Clockwork(seed)
     val network = Network(clock)
@@ -54,6 +56,7 @@
         )
     val state = StateStandIn(clock, facts.state)
     val rules = Rules(teams, facts.workers.cancelS.secs + Rules.SLACK)
+    val gangs = Gangs(clock, rules, gangWaitS, gangPeerS)
     private val specs = HashMap<String, JobSpec>()
     val cloud = CloudStandIn(clock, zones, capacity = 3, ::worker)
     private val workers = HashMap<String, WorkerStandIn>()
@@ -242,6 +245,7 @@
                 nodes,
                 rules,
                 specs::get,
+                gangs,
                 send,
             )
         workers[id] = worker
