Formats: fixed samples as production writes them, and what is read and written now

Cause: in the upgrade old and new processes work on each other's data, and nothing held what is stored and sent to the form that production knows.

They are never made anew with a later version. Stored: the leader, tags, types, j/ q/ c/ records in each state, shape and urgency, pages (machines, sessions, zones, charges, done runs, tried tasks, an empty one), a condemned machine, a detoured batch and the relays' answers. Messages: beats, what was told, batches and their answers, each full and with nothing in it.

FormatTest reads each as it is and with unknown fields in every object, field by field, and compares the trees of what is written now with the samples; a field more than production wrote needs an entry with its reason in ADDED, which is empty. The trees are read without the tested classes, so that no default value stands in for a lost field. What is stored of a condemned machine is also seen on a run of the whole controller, both ways.

Ruled out: comparing bytes, as the order of fields and the packing may change without harm; reading the samples by the tested classes alone, as a renamed field that has a default value would pass unseen.

--- /dev/null
+++ b/src/test/kotlin/wardmux/app/FormatContents.kt
@@ -0,0 +1,311 @@
+package wardmux.app
+
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonPrimitive
+import wardmux.JobId
+import wardmux.MachineId
+import wardmux.Micros
+import wardmux.Stamp
+import wardmux.TaskId
+import wardmux.cloud.MachineType
+import wardmux.dispatch.Charge
+import wardmux.dispatch.Cost
+import wardmux.dispatch.FairQueue
+import wardmux.dispatch.Job
+import wardmux.fleet.Order
+import wardmux.fleet.Placement
+import wardmux.intake.JobRecord
+import wardmux.intake.JobSpec
+import wardmux.intake.JobState
+import wardmux.intake.Shape
+import wardmux.intake.Urgency
+import wardmux.lead.LeaderRecord
+import wardmux.lead.Leadership
+import wardmux.peers.Beat
+import wardmux.peers.BeatCodec
+import wardmux.peers.Heard
+import wardmux.peers.Progress
+import wardmux.peers.Told
+import wardmux.relay.Batch
+import wardmux.relay.BatchAnswer
+import wardmux.relay.Detour
+import wardmux.relay.FullReport
+import wardmux.relay.Mail
+import wardmux.relay.RelayCodec
+import wardmux.relay.StoredAnswers
+import wardmux.store.lenientJson
+
+/**
+ * What the samples of the formats say. It was written once by the version in production, into the
+ * samples; the tests write it with the present version and compare.
+ */
+object FormatContents {
+    val LEADER = LeaderRecord(member = "n2", boot = "n2-5f3a")
+
+    val TYPES =
+        listOf(
+            MachineType(
+                label = "rackmid",
+                cpus = 16.0,
+                gpus = 2.0,
+                memoryGb = 64.5,
+                cacheGb = 120.0,
+                fetchGbPerS = 0.75,
+                price = 0.95,
+                spotPrice = 0.4,
+                bootS = 50.0,
+                zones = listOf("east", "west"),
+            ),
+            MachineType(label = "plain", cpus = 8.0, memoryGb = 32.0, zones = listOf("east")),
+        )
+
+    const val TAGS_AT = 1_790_000_000_000_000L
+
+    /** Both teams are ahead of the clock; "batch" has been charged twice and corrected once. */
+    fun tags(): FairQueue =
+        queue().also {
+            val first = it.charge("batch", Cost(160_000_000), Micros(TAGS_AT))
+            it.charge("batch", Cost(40_000_000), Micros(TAGS_AT))
+            it.correct("batch", first, Cost(200_000_000), Micros(TAGS_AT))
+            it.charge("web", Cost(8_000_000), Micros(TAGS_AT))
+        }
+
+    fun queue() = FairQueue(mapOf("batch" to 100.0, "web" to 8.0), Micros(600_000_000), 3600.0)
+
+    /** With all optional fields. */
+    val BATCH_SPEC =
+        JobSpec(
+            id = "job-000412",
+            jobClass = "train",
+            team = "batch",
+            shape = Shape.BATCH,
+            urgency = Urgency.HIGH,
+            tasks = 40,
+            cpus = 2.5,
+            gpus = 1.0,
+            memoryGb = 5.2,
+            image = "img-07",
+            imageGb = 6.25,
+            types = listOf("rackmid", "plain"),
+            zone = "east",
+            oneZone = true,
+            spread = false,
+            spot = true,
+            estimateS = 35.5,
+            checkpointS = 20.0,
+            saveS = 4.0,
+            deadlineS = 900.0,
+        )
+
+    /** Without the optional fields. */
+    val DAEMON_SPEC =
+        BATCH_SPEC.copy(
+            id = "job-000413",
+            shape = Shape.DAEMON,
+            urgency = Urgency.PROD,
+            tasks = 3,
+            gpus = 0.0,
+            types = null,
+            zone = null,
+            oneZone = false,
+            spread = true,
+            spot = false,
+            checkpointS = 0.0,
+            saveS = 0.0,
+            deadlineS = null,
+        )
+    val GANG_SPEC =
+        BATCH_SPEC.copy(
+            id = "job-000414",
+            shape = Shape.GANG,
+            urgency = Urgency.NORMAL,
+            types = null,
+            deadlineS = null,
+        )
+    val IDLE_SPEC = DAEMON_SPEC.copy(id = "job-000415", shape = Shape.BATCH, urgency = Urgency.IDLE)
+    val SPECS = listOf(BATCH_SPEC, DAEMON_SPEC, GANG_SPEC, IDLE_SPEC)
+
+    const val ACCEPTED_AT = 1_790_000_000_123_456L
+
+    val DONE = JobRecord(JobState.DONE, ACCEPTED_AT)
+
+    fun accepted(spec: JobSpec) = JobRecord(JobState.ACCEPTED, ACCEPTED_AT, spec)
+
+    fun cancelled(spec: JobSpec) = JobRecord(JobState.CANCELLED, ACCEPTED_AT, spec)
+
+    /** A page of [PAGE_SIZE] tasks, so that [BATCH_SPEC] has three. */
+    const val PAGE_SIZE = 16
+
+    val CHARGES = listOf(Charge(Cost(88_750_000), 97.4), Charge(Cost(177_500_000), 0.125))
+
+    fun emptyJob() = Job(BATCH_SPEC, Stamp(7), Micros(ACCEPTED_AT), PAGE_SIZE)
+
+    private fun placement(
+        job: Job,
+        task: Int,
+        attempt: Int,
+        machine: String,
+        shift: Long,
+        zone: String,
+        charge: Int,
+    ) =
+        Placement(
+            job,
+            TaskId(job.id, task),
+            attempt,
+            MachineId(machine),
+            shift,
+            zone,
+            CHARGES[charge],
+        )
+
+    /** In the second page: on three machines, one of them in two sessions, in two zones. */
+    fun placements(job: Job) =
+        listOf(
+            placement(job, 16, 1, "i-000001", 3, "east", 0),
+            placement(job, 17, 2, "i-000001", 3, "east", 1),
+            placement(job, 18, 1, "i-000001", 4, "east", 0),
+            placement(job, 22, 1, "i-000002", 1, "west", 0),
+            placement(job, 23, 4, "i-000003", 9_000_000_000, "east", 1),
+        )
+
+    /** Done: 0, 2 to 5 and 15; 20 and 31. Tried: 19, 24 and 30. */
+    fun job(): Job =
+        emptyJob().also { job ->
+            val elsewhere = { task: Int, attempt: Int ->
+                placement(job, task, attempt, "i-000009", 1, "east", 0)
+            }
+            for (task in DONE_TASKS) {
+                val placed = elsewhere(task, 1)
+                job.place(placed, Micros.ZERO)
+                job.commit(placed)
+                job.complete(task, Micros.ZERO)
+                job.release(placed, Micros.ZERO)
+            }
+            for ((task, attempt) in TRIED) {
+                val placed = elsewhere(task, attempt)
+                job.place(placed, Micros.ZERO)
+                job.commit(placed)
+                job.release(placed, Micros.ZERO)
+            }
+            for (placed in placements(job)) job.place(placed, Micros.ZERO)
+        }
+
+    val DONE_TASKS = listOf(0, 2, 3, 4, 5, 15, 20, 31)
+    val TRIED = mapOf(19 to 1, 24 to 3, 30 to 1)
+
+    val BEAT =
+        Beat(
+            member = "n1",
+            token = 4_711,
+            stateSilence = 1_250_000,
+            progress = listOf(Progress("job-000412", 8, 5), Progress("job-000413", 0, 0)),
+            wantsRelays = true,
+            heard = listOf(Heard("n2", "n2-5f3a", 12), Heard("n3", "n3-1", 0)),
+        )
+    val FOLLOWER_BEAT = Beat(member = "n3")
+
+    val TOLD =
+        Told(
+            boot = "n2-5f3a",
+            up = 86_400_000_000,
+            from = 12,
+            jobs = listOf("job-000412", "job-000413"),
+            more = true,
+        )
+    val NOTHING_TOLD = Told(boot = "n3-1", up = 0, from = 0)
+
+    val REPORT_BODY =
+        """{"box":"i-000001","endpoint":"10.0.0.9:9","boxkind":"rackmid","ward":"east",""" +
+            """"loaners":true,"shift":3,"tick":77,"baton":4711,"recall_s":12.5,"pieces":[""" +
+            """{"piece":"job-000412/16","try":1,"status":"running"},""" +
+            """{"piece":"job-000412/17","try":2,"status":"ended","cause":"stopped","kept":true}]}"""
+
+    fun batch() =
+        Batch(
+            member = "n3",
+            boot = "n3-1",
+            number = 41,
+            token = 4_711,
+            echo = 55_000_000,
+            since = 250_000,
+            reports = listOf(FullReport(6, REPORT_BODY.encodeToByteArray())),
+            signs = listOf(4, 90, 5, 1_000_000),
+        )
+
+    /** The first of a process: it has no clock to echo and nothing to tell. */
+    fun firstBatch() =
+        Batch(member = "n3", boot = "n3-1", number = 1, token = 4_711, echo = 0, since = 0)
+
+    val ORDERS =
+        listOf(
+            Order(verb = "halt", task = "job-000412/16", attempt = 1, withinS = 4.5),
+            Order(verb = "forget", task = "job-000412/17", attempt = 2),
+        )
+
+    fun answer() =
+        BatchAnswer(
+            boot = "n3-1",
+            number = 41,
+            token = 4_711,
+            clock = 55_500_000,
+            wanted = false,
+            grant = 5_280_000,
+            unknown = listOf(4, 5),
+            mail = listOf(Mail("i-000001", 3, ORDERS), Mail("i-000002", 1, emptyList())),
+            refuse = listOf("i-000007"),
+            shed = 3,
+            shedTo = "n1",
+            sendOn = true,
+            renews = false,
+        )
+
+    fun plainAnswer() =
+        BatchAnswer(boot = "n3-1", number = 1, token = 4_711, clock = 55_000_000, grant = 5_280_000)
+
+    const val CONDEMNED_WHY = "tasks fail on it"
+    const val CONDEMNED_KEY = "m/i-000001"
+
+    /**
+     * All that the state service holds, by its key. What is stored of a condemned machine is here
+     * as the ledger puts it; that it puts it so is seen on a run of the whole controller.
+     */
+    fun stored(): Map<String, JsonElement> {
+        val all = LinkedHashMap<String, JsonElement>()
+        all[Leadership.KEY] = lenientJson.encodeToJsonElement(LeaderRecord.serializer(), LEADER)
+        all[FairQueue.KEY] = tags().toJson(Micros(TAGS_AT))
+        all[MachineType.KEY] = MachineType.toJson(TYPES)
+        for (spec in SPECS) {
+            all[JobRecord.key(spec.jobId)] = accepted(spec).toJson()
+            all[JobRecord.openKey(spec.jobId)] = accepted(spec).toJson()
+            all[JobRecord.cancelledKey(spec.jobId)] = cancelled(spec).toJson()
+        }
+        all[JobRecord.key(JobId("job-000001"))] = DONE.toJson()
+        val job = job()
+        for (page in 0..2) all[Job.pageKey(job.id, page)] = job.page(page)
+        all[CONDEMNED_KEY] = JsonPrimitive(CONDEMNED_WHY)
+        all[Detour.BATCHES + "n3"] = JsonPrimitive(RelayCodec.pack(batch()))
+        all[Detour.ANSWERS] =
+            JsonPrimitive(
+                RelayCodec.pack(
+                    StoredAnswers(
+                        mapOf("n1" to plainAnswer(), "n3" to answer().withoutMail()) +
+                            ("n4" to answer())
+                    )
+                )
+            )
+        return all
+    }
+
+    fun messages(): Map<String, ByteArray> =
+        mapOf(
+            "beat" to BeatCodec.encode(BEAT),
+            "beat of a follower" to BeatCodec.encode(FOLLOWER_BEAT),
+            "told" to BeatCodec.encode(TOLD),
+            "nothing told" to BeatCodec.encode(NOTHING_TOLD),
+            "batch" to RelayCodec.encode(batch()),
+            "first batch" to RelayCodec.encode(firstBatch()),
+            "answer" to RelayCodec.encode(answer()),
+            "plain answer" to RelayCodec.encode(plainAnswer()),
+        )
+}
--- /dev/null
+++ b/src/test/kotlin/wardmux/app/FormatTest.kt
@@ -0,0 +1,420 @@
+package wardmux.app
+
+import kotlin.test.Test
+import kotlin.test.assertContentEquals
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import wardmux.JobId
+import wardmux.MachineId
+import wardmux.Micros
+import wardmux.cloud.MachineType
+import wardmux.dispatch.FairQueue
+import wardmux.dispatch.StoredPage
+import wardmux.intake.JobRecord
+import wardmux.intake.JobState
+import wardmux.intake.Shape
+import wardmux.intake.Urgency
+import wardmux.lead.LeaderRecord
+import wardmux.lead.Leadership
+import wardmux.peers.BeatCodec
+import wardmux.peers.Progress
+import wardmux.relay.Batch
+import wardmux.relay.BatchAnswer
+import wardmux.relay.RelayCodec
+import wardmux.secs
+import wardmux.sim.ByHand
+import wardmux.sim.Rig
+import wardmux.sim.plainJob
+import wardmux.store.lenientJson
+
+/**
+ * During an upgrade processes of the version in production and of this one work on each other's
+ * data. The samples are what the version in production wrote of [FormatContents]; they are never
+ * made anew with this one. Each is read here as it is and with unknown fields in it, and compared
+ * with what this version writes.
+ */
+class FormatTest {
+    private fun sample(name: String): JsonObject {
+        val path = "/formats/$name.json"
+        val text = assertNotNull(javaClass.getResource(path), path).readText()
+        return Json.parseToJsonElement(text).jsonObject
+    }
+
+    private val stored = sample("stored")
+    private val messages =
+        sample("messages").mapValues { it.value.jsonPrimitive.content.hexToByteArray() }
+
+    private fun isPacked(key: String) = key.startsWith("r/") || key.startsWith("a/")
+
+    /** As production wrote it, and as a later version might. */
+    private fun eachStored(key: String, check: (JsonElement) -> Unit) {
+        val value = stored.getValue(key)
+        check(value)
+        check(
+            if (isPacked(key)) FormatTree.packed(FormatTree.withMore(FormatTree.ofPacked(value)))
+            else FormatTree.withMore(value)
+        )
+    }
+
+    private fun eachMessage(name: String, check: (ByteArray) -> Unit) {
+        val bytes = messages.getValue(name)
+        check(bytes)
+        check(FormatTree.toCbor(FormatTree.withMore(FormatTree.ofCbor(bytes))))
+    }
+
+    // What this version writes.
+
+    @Test
+    fun `what is stored is written as production writes it, under the same keys`() {
+        val now = FormatContents.stored()
+        assertEquals(stored.keys, now.keys)
+        val found =
+            stored.entries.flatMap { (key, value) ->
+                val written = now.getValue(key)
+                if (isPacked(key)) {
+                    val production = FormatTree.ofPacked(value)
+                    FormatTree.differences(production, FormatTree.ofPacked(written), ADDED, key)
+                } else {
+                    FormatTree.differences(value, written, ADDED, key)
+                }
+            }
+        assertEquals(emptyList(), found)
+    }
+
+    @Test
+    fun `messages are written as production writes them`() {
+        val now = FormatContents.messages()
+        assertEquals(messages.keys, now.keys)
+        val found =
+            messages.entries.flatMap { (name, bytes) ->
+                val written = FormatTree.ofCbor(now.getValue(name))
+                FormatTree.differences(FormatTree.ofCbor(bytes), written, ADDED, name)
+            }
+        assertEquals(emptyList(), found)
+    }
+
+    @Test
+    fun `a field that is lost, changed or new is told as a difference`() {
+        val tree = Json.parseToJsonElement("""{"a":[{"b":1}],"c":"1"}""")
+        fun against(text: String, vararg additions: String) =
+            FormatTree.differences(tree, Json.parseToJsonElement(text), additions.toSet())
+        assertEquals(emptyList(), against("""{"c":"1","a":[{"b":1}]}"""))
+        assertEquals(listOf(".c is not written"), against("""{"a":[{"b":1}]}"""))
+        assertEquals(1, against("""{"a":[{"b":1}],"c":1}""").size)
+        assertEquals(1, against("""{"a":[{"b":2}],"c":"1"}""").size)
+        assertEquals(1, against("""{"a":[],"c":"1"}""").size)
+        assertEquals(listOf(".a[].d is new"), against("""{"a":[{"b":1,"d":0}],"c":"1"}"""))
+        assertEquals(emptyList(), against("""{"a":[{"b":1,"d":0}],"c":"1"}""", ".a[].d"))
+    }
+
+    // What this version reads.
+
+    @Test
+    fun `the leader's record is read`() =
+        eachStored(Leadership.KEY) {
+            val record = lenientJson.decodeFromJsonElement(LeaderRecord.serializer(), it)
+            assertEquals("n2", record.member)
+            assertEquals("n2-5f3a", record.boot)
+        }
+
+    @Test
+    fun `the tags are read`() =
+        eachStored(FairQueue.KEY) {
+            val at = Micros(FormatContents.TAGS_AT)
+            val written = FormatContents.tags()
+            val read = FormatContents.queue()
+            read.load(it)
+            assertEquals(written.clock, read.clock)
+            assertTrue(read.clock > 0)
+            for (team in listOf("batch", "web")) {
+                assertTrue(read.startTag(team) > read.clock, team)
+                assertEquals(written.startTag(team), read.startTag(team), team)
+                assertTrue(read.usage(team, at) > 0, team)
+                assertEquals(written.usage(team, at), read.usage(team, at), team)
+            }
+            // Usage goes on decaying from when it was written.
+            val halved = read.usage("web", Micros(FormatContents.TAGS_AT + 600_000_000))
+            assertEquals(4_000_000.0, halved)
+        }
+
+    @Test
+    fun `machine types are read`() =
+        eachStored(MachineType.KEY) { assertEquals(FormatContents.TYPES, MachineType.listOf(it)) }
+
+    @Test
+    fun `job records are read in each state and shape, under each of their keys`() {
+        for (spec in FormatContents.SPECS) {
+            for (key in listOf("j/${spec.id}", "q/${spec.id}")) {
+                eachStored(key) { assertEquals(FormatContents.accepted(spec), JobRecord.of(it)) }
+            }
+            eachStored("c/${spec.id}") {
+                assertEquals(FormatContents.cancelled(spec), JobRecord.of(it))
+            }
+        }
+        eachStored("j/job-000001") { assertEquals(FormatContents.DONE, JobRecord.of(it)) }
+    }
+
+    /** Spelled out once, so that a field that is read in another's place is noticed. */
+    @Test
+    fun `each field of a job record is read`() =
+        eachStored("c/job-000412") {
+            val record = assertNotNull(JobRecord.of(it))
+            assertEquals(JobState.CANCELLED, record.state)
+            assertEquals(1_790_000_000_123_456, record.acceptedAt)
+            val spec = assertNotNull(record.spec)
+            assertEquals(JobId("job-000412"), spec.jobId)
+            assertEquals("train", spec.jobClass)
+            assertEquals("batch", spec.team)
+            assertEquals(Shape.BATCH, spec.shape)
+            assertEquals(Urgency.HIGH, spec.urgency)
+            assertEquals(40, spec.tasks)
+            assertEquals(2.5, spec.cpus)
+            assertEquals(1.0, spec.gpus)
+            assertEquals(5.2, spec.memoryGb)
+            assertEquals("img-07", spec.image)
+            assertEquals(6.25, spec.imageGb)
+            assertEquals(listOf("rackmid", "plain"), spec.types)
+            assertEquals("east", spec.zone)
+            assertTrue(spec.oneZone)
+            assertFalse(spec.spread)
+            assertTrue(spec.spot)
+            assertEquals(35.5, spec.estimateS)
+            assertEquals(20.0, spec.checkpointS)
+            assertEquals(4.0, spec.saveS)
+            assertEquals(900.0, spec.deadlineS)
+        }
+
+    private fun page(json: JsonElement) =
+        lenientJson.decodeFromJsonElement(StoredPage.serializer(), json)
+
+    @Test
+    fun `a page is read with its placements, their zones and charges`() =
+        eachStored("t/job-000412/1") { json ->
+            val job = FormatContents.emptyJob()
+            val read = job.load(1, 99, page(json)).associateBy { it.task.index }
+            val wanted = FormatContents.placements(job).associateBy { it.task.index }
+            assertEquals(setOf(16, 17, 18, 22, 23), read.keys)
+            for ((task, placement) in wanted) {
+                val found = read.getValue(task)
+                assertEquals(job.id, found.task.job)
+                assertEquals(placement.attempt, found.attempt, "attempt of $task")
+                assertEquals(placement.machine, found.machine, "machine of $task")
+                assertEquals(placement.shift, found.shift, "session of $task")
+                assertEquals(placement.zone, found.zone, "zone of $task")
+                assertEquals(placement.charge, found.charge, "charge of $task")
+                assertTrue(found.restored && found.committed)
+            }
+            assertEquals(9_000_000_000, read.getValue(23).shift)
+            assertEquals(MachineId("i-000003"), read.getValue(23).machine)
+            assertEquals("west", read.getValue(22).zone)
+            assertEquals(99, job.pageStamp(1))
+        }
+
+    @Test
+    fun `the runs of done tasks and the tried ones are read from all pages`() {
+        val more = { json: JsonElement -> FormatTree.withMore(json) }
+        for (form in listOf({ json: JsonElement -> json }, more)) {
+            val job = FormatContents.emptyJob()
+            for (number in 0..2) {
+                job.load(number, 99, page(form(stored.getValue("t/job-000412/$number"))))
+            }
+            val tasks = 0 until job.spec.tasks
+            assertEquals(FormatContents.DONE_TASKS, tasks.filter { job.isDone(it) })
+            assertEquals(FormatContents.DONE_TASKS, tasks.filter { job.isRecorded(it) })
+            for (task in tasks) {
+                val last = FormatContents.TRIED[task] ?: job.placements.get(task)?.attempt ?: 0
+                assertEquals(last + 1, job.nextAttempt(task), "next attempt of $task")
+            }
+            // What came back waits behind what was never tried.
+            val waiting = generateSequence { job.takeWaiting().takeIf { it >= 0 } }.toList()
+            assertEquals(FormatContents.TRIED.keys.toList(), waiting.takeLast(3))
+            assertEquals(40 - 8 - 5, waiting.size)
+        }
+    }
+
+    @Test
+    fun `a condemned machine is recorded as production records it`() {
+        val rig = Rig()
+        rig.accept(plainJob(1, "job-000001"))
+        rig.accept(plainJob(1, "job-000002"))
+        rig.run(2.secs)
+        val machine = ByHand(rig, "i-000001")
+        val token = machine.token()
+        val failed = { job: Int ->
+            """{"piece":"job-00000$job/0","try":1,"status":"ended","cause":"error"}"""
+        }
+        rig.run(1.secs)
+        machine.hello(token)
+        rig.run(1.secs)
+        machine.hello(token, "${failed(1)},${failed(2)}")
+        rig.run(1.secs)
+        val sample = stored.getValue(FormatContents.CONDEMNED_KEY)
+        assertEquals(sample, rig.stored(FormatContents.CONDEMNED_KEY))
+    }
+
+    /** What the only machine in the job's zone is told under a leader that finds [condemned]. */
+    private fun startsWith(condemned: JsonElement?): Boolean {
+        val rig = Rig()
+        if (condemned != null) rig.write(FormatContents.CONDEMNED_KEY, condemned)
+        rig.accept(plainJob(1).copy(zone = "a"))
+        rig.run(2.secs)
+        val token = ByHand(rig, "i-000002", "b").token()
+        val machine = ByHand(rig, "i-000001", "a")
+        val answers =
+            List(4) { machine.report(token).toString().also { rig.run(0.5.secs) } } + rig.direct
+        return answers.any { "\"verb\":\"start\"" in it }
+    }
+
+    @Test
+    fun `a machine that production condemned gets nothing more, whatever is said of it`() {
+        assertTrue(startsWith(condemned = null))
+        assertFalse(startsWith(stored.getValue(FormatContents.CONDEMNED_KEY)))
+        assertFalse(startsWith(JsonObject(mapOf("later" to JsonPrimitive(1)))))
+    }
+
+    @Test
+    fun `a beat is read`() {
+        eachMessage("beat") {
+            val beat = assertNotNull(BeatCodec.decode(it))
+            assertEquals("n1", beat.member)
+            assertEquals(4_711, beat.token)
+            assertEquals(1_250_000, beat.stateSilence)
+            val progress = listOf(Progress("job-000412", 8, 5), Progress("job-000413", 0, 0))
+            assertEquals(progress, beat.progress)
+            assertTrue(beat.wantsRelays)
+            val heard = beat.heard.map { h -> Triple(h.member, h.boot, h.count) }
+            assertEquals(listOf(Triple("n2", "n2-5f3a", 12L), Triple("n3", "n3-1", 0L)), heard)
+        }
+        eachMessage("beat of a follower") {
+            assertEquals(FormatContents.FOLLOWER_BEAT, BeatCodec.decode(it))
+        }
+    }
+
+    @Test
+    fun `the answer to a beat is read`() {
+        eachMessage("told") {
+            val told = assertNotNull(BeatCodec.told(it))
+            assertEquals("n2-5f3a", told.boot)
+            assertEquals(86_400_000_000, told.up)
+            assertEquals(12, told.from)
+            assertEquals(listOf("job-000412", "job-000413"), told.jobs)
+            assertTrue(told.more)
+        }
+        eachMessage("nothing told") {
+            val told = assertNotNull(BeatCodec.told(it))
+            assertEquals("n3-1", told.boot)
+            assertEquals(0, told.up)
+            assertEquals(0, told.from)
+            assertEquals(emptyList(), told.jobs)
+            assertFalse(told.more)
+        }
+    }
+
+    private fun assertWhole(batch: Batch?) {
+        assertNotNull(batch)
+        assertEquals("n3", batch.member)
+        assertEquals("n3-1", batch.boot)
+        assertEquals(41, batch.number)
+        assertEquals(4_711, batch.token)
+        assertEquals(55_000_000, batch.echo)
+        assertEquals(250_000, batch.since)
+        val report = batch.reports.single()
+        assertEquals(6, report.number)
+        assertContentEquals(FormatContents.REPORT_BODY.encodeToByteArray(), report.body)
+        assertEquals(listOf<Long>(4, 90, 5, 1_000_000), batch.signs)
+    }
+
+    private fun assertWhole(answer: BatchAnswer?) {
+        assertNotNull(answer)
+        assertEquals("n3-1", answer.boot)
+        assertEquals(41, answer.number)
+        assertEquals(4_711, answer.token)
+        assertEquals(55_500_000, answer.clock)
+        assertFalse(answer.wanted)
+        assertEquals(5_280_000, answer.grant)
+        assertEquals(listOf<Long>(4, 5), answer.unknown)
+        val mail = answer.mail.map { Triple(it.machine, it.shift, it.orders) }
+        val orders = FormatContents.ORDERS
+        val wanted = listOf(Triple("i-000001", 3L, orders), Triple("i-000002", 1L, emptyList()))
+        assertEquals(wanted, mail)
+        assertEquals(listOf("i-000007"), answer.refuse)
+        assertEquals(3, answer.shed)
+        assertEquals("n1", answer.shedTo)
+        assertTrue(answer.sendOn)
+        assertFalse(answer.renews)
+    }
+
+    private fun assertBare(answer: BatchAnswer?) {
+        assertNotNull(answer)
+        assertEquals("n3-1", answer.boot)
+        assertEquals(4_711, answer.token)
+        assertEquals(5_280_000, answer.grant)
+        assertEquals(emptyList(), answer.unknown)
+        assertEquals(emptyList(), answer.mail)
+        assertEquals(emptyList(), answer.refuse)
+        assertEquals(0, answer.shed)
+        assertNull(answer.shedTo)
+    }
+
+    private fun assertPlain(answer: BatchAnswer?) {
+        assertBare(answer)
+        assertEquals(1, answer?.number)
+        assertEquals(55_000_000, answer?.clock)
+        assertEquals(true, answer?.wanted)
+        assertEquals(false, answer?.sendOn)
+        assertEquals(true, answer?.renews)
+    }
+
+    @Test
+    fun `batches are read`() {
+        eachMessage("batch") { assertWhole(RelayCodec.batch(it)) }
+        eachStored("r/n3") { assertWhole(RelayCodec.batch(it)) }
+        eachMessage("first batch") {
+            val batch = assertNotNull(RelayCodec.batch(it))
+            assertEquals("n3", batch.member)
+            assertEquals("n3-1", batch.boot)
+            assertEquals(1, batch.number)
+            assertEquals(4_711, batch.token)
+            assertEquals(0, batch.echo)
+            assertEquals(0, batch.since)
+            assertEquals(0, batch.reports.size)
+            assertEquals(emptyList(), batch.signs)
+        }
+    }
+
+    @Test
+    fun `the answers to batches are read`() {
+        eachMessage("answer") { assertWhole(RelayCodec.answer(it)) }
+        eachMessage("plain answer") { assertPlain(RelayCodec.answer(it)) }
+        eachStored("a/relays") {
+            val answers = assertNotNull(RelayCodec.answers(it)).byMember
+            assertEquals(setOf("n1", "n3", "n4"), answers.keys)
+            assertPlain(answers["n1"])
+            assertWhole(answers["n4"])
+            val withoutMail = answers["n3"]
+            assertBare(withoutMail)
+            assertEquals(41, withoutMail?.number)
+            assertEquals(55_500_000, withoutMail?.clock)
+            assertEquals(false, withoutMail?.wanted)
+            assertEquals(true, withoutMail?.sendOn)
+            assertEquals(false, withoutMail?.renews)
+        }
+    }
+
+    private companion object {
+        /**
+         * Fields that production does not write and passes over, each by the key or name of the
+         * sample and the path in it, with the reason why a process of production may be shown it.
+         */
+        val ADDED = emptySet<String>()
+    }
+}
