--- /dev/null
+++ b/src/test/kotlin/wardmux/sim/GangDaysTest.kt
@@ -0,0 +1,195 @@
+package wardmux.sim
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import wardmux.Micros
+import wardmux.app.OperatorSettings
+import wardmux.intake.JobSpec
+import wardmux.intake.Shape
+import wardmux.intake.Urgency
+import wardmux.secs
+
+/** Seeded days of gangs among arrays, with the troubles of [RandomDaysTest]. */
+class GangDaysTest {
+    private class Day(seed: Long, operators: OperatorSettings = OperatorSettings()) {
+        val world = World(seed, operators = operators)
+        private val clock = world.clock
+        private val troubles = Troubles(world, ::submit)
+        val gangs = ArrayList<String>()
+
+        /** Of 2 to 12 tasks; most must be in one zone, and most save. */
+        private fun gang(): JobSpec {
+            val tasks = 2 + clock.random.nextInt(11)
+            val saves = clock.chance(0.7)
+            return world
+                .randomJob()
+                .copy(
+                    jobClass = "gang",
+                    shape = Shape.GANG,
+                    urgency = if (clock.chance(0.5)) Urgency.HIGH else Urgency.NORMAL,
+                    tasks = tasks,
+                    cpus = 2.0,
+                    oneZone = clock.chance(0.7),
+                    spread = false,
+                    estimateS = 2.0 + clock.random.nextInt(20),
+                    checkpointS = if (saves) 5.0 else 0.0,
+                    saveS = if (saves) 2.0 else 0.0,
+                )
+        }
+
+        private fun submit() {
+            val gang = clock.chance(0.5)
+            val spec = if (gang) gang() else world.randomJob().takeIf { it.shape != Shape.GANG }
+            if (spec == null) return
+            if (gang) gangs.add(spec.id)
+            world.submit(spec)
+            if (spec.shape == Shape.DAEMON || clock.chance(0.1)) {
+                clock.after(clock.between(1.secs, 60.secs)) { world.cancel(spec.id) }
+            }
+        }
+
+        private fun trouble() {
+            val all = troubles.first + troubles.grown + troubles.fleet + troubles.hunt
+            all[clock.random.nextInt(all.size)]()
+        }
+
+        fun play(troubled: Boolean) {
+            world.cloud.stillborn = if (troubled) 0.1 else 0.0
+            for (at in 2..150 step 9) clock.after(at.secs) { submit() }
+            if (troubled) for (at in 10..170 step 9) clock.after(at.secs) { trouble() }
+            world.run(END)
+            if (troubled) world.endOfDay(CALM)
+        }
+
+        fun open() = gangs.filter { world.rules.finalOf(it) == null }
+    }
+
+    private fun troubled(seed: Long, operators: OperatorSettings) {
+        val day = Day(seed, operators)
+        day.play(troubled = true)
+        assertEquals(emptyList(), day.world.problems())
+        assertTrue(day.world.rules.gangsBegun > 0, "no gang ran")
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    fun `no rule is broken by gangs whatever fails`(seed: Long) = troubled(seed, OperatorSettings())
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    fun `nor where all controllers take reports`(seed: Long) =
+        troubled(seed, OperatorSettings(reportsPerCore = 0.0))
+
+    @ParameterizedTest
+    @MethodSource("quietSeeds")
+    fun `on a quiet day every gang comes to its end`(seed: Long) {
+        val day = Day(seed)
+        day.play(troubled = false)
+        assertEquals(emptyList(), day.world.problems())
+        assertEquals(emptyList(), day.open())
+        assertTrue(day.world.rules.gangsBegun > 0, "no gang ran")
+    }
+
+    private fun gang(
+        world: World,
+        tasks: Int,
+        cpus: Double = 2.0,
+        team: String = "team-0",
+        zone: String? = null,
+    ): JobSpec =
+        world
+            .randomJob()
+            .copy(
+                jobClass = "gang",
+                team = team,
+                shape = Shape.GANG,
+                urgency = Urgency.NORMAL,
+                tasks = tasks,
+                cpus = cpus,
+                zone = zone,
+                oneZone = true,
+                spread = false,
+                spot = true,
+                estimateS = 10.0,
+                checkpointS = 5.0,
+                saveS = 2.0,
+            )
+
+    private fun assertDone(world: World, jobs: List<JobSpec>, within: Micros) {
+        world.run(within)
+        assertEquals(emptyList(), world.problems())
+        val open = jobs.filter { world.rules.finalOf(it.id) != "done" }.map { it.id }
+        assertEquals(emptyList(), open, "ends: ${world.gangs.causes}")
+    }
+
+    @Test
+    fun `a large gang behind a stream of small tasks`() {
+        val world = World(3)
+        world.run(10.secs)
+        for (at in 0..200 step 2) {
+            world.clock.after(at.secs) { world.submit(small(world)) }
+        }
+        val large = gang(world, tasks = 12)
+        world.clock.after(20.secs) { world.submit(large) }
+        assertDone(world, listOf(large), within = 200.secs)
+    }
+
+    private fun small(world: World): JobSpec =
+        world
+            .randomJob()
+            .copy(
+                team = "team-1",
+                shape = Shape.BATCH,
+                urgency = Urgency.HIGH,
+                tasks = 4,
+                cpus = 1.0,
+                zone = null,
+                oneZone = false,
+                spread = false,
+                spot = true,
+                estimateS = 4.0,
+                checkpointS = 0.0,
+                saveS = 0.0,
+            )
+
+    /** Either needs more than half of what one zone may have. */
+    @Test
+    fun `two gangs that compete for the room of one zone`() {
+        val world = World(4)
+        world.run(10.secs)
+        val both = listOf("team-0", "team-1").map { gang(world, 4, 8.0, it, zone = "b") }
+        both.forEach(world::submit)
+        assertDone(world, both, within = 200.secs)
+    }
+
+    /** Each team's limit holds one of its gangs only. */
+    @Test
+    fun `many gangs of one team come one after the other`() {
+        val world = World(5)
+        world.run(10.secs)
+        val all = List(4) { gang(world, 12) }
+        all.forEach(world::submit)
+        assertDone(world, all, within = 300.secs)
+    }
+
+    companion object {
+        private val END = 420.secs
+
+        /** As in [RandomDaysTest]. */
+        private val CALM = 285.secs
+
+        /** Others for a longer search: `-DargLine="-Dwardmux.gangs=100-500"`. */
+        @JvmStatic fun seeds(): List<Long> = days("wardmux.gangs", "1-16")
+
+        /** Likewise: `-Dwardmux.gangsQuiet=100-500`. */
+        @JvmStatic fun quietSeeds(): List<Long> = days("wardmux.gangsQuiet", "1-4")
+
+        private fun days(property: String, usual: String): List<Long> {
+            val range = (System.getProperty(property) ?: usual).split('-')
+            return (range.first().toLong()..range.last().toLong()).toList()
+        }
+    }
+}
