--- a/src/main/kotlin/wardmux/app/Settings.kt
+++ b/src/main/kotlin/wardmux/app/Settings.kt
@@ -75,6 +75,27 @@
     @SerialName("write_rps") val writeRps: Double,
     @SerialName("value_kb") val valueKb: Double,
     @SerialName("txn_ops") val txnOps: Int,
+    /** The limits from some moment on, of which nobody is told; null where none are to come. */
+    val next: NextStateFacts? = null,
+) {
+    /** The smaller of both: what holds now and what may hold at any moment. */
+    val lowest: StateFacts
+        get() =
+            StateFacts(
+                minOf(rps, next?.rps ?: rps),
+                minOf(writeRps, next?.writeRps ?: writeRps),
+                minOf(valueKb, next?.valueKb ?: valueKb),
+                minOf(txnOps, next?.txnOps ?: txnOps),
+            )
+}
+
+/** A limit that is not named here stays as it is. */
+@Serializable
+data class NextStateFacts(
+    val rps: Double? = null,
+    @SerialName("write_rps") val writeRps: Double? = null,
+    @SerialName("value_kb") val valueKb: Double? = null,
+    @SerialName("txn_ops") val txnOps: Int? = null,
 )
 
 @Serializable data class CloudFacts(val rps: Double, @SerialName("list_lag_s") val listLagS: Double)
@@ -164,6 +185,12 @@
         positive(s.facts.state.writeRps, "facts.state.write_rps")
         positive(s.facts.state.valueKb, "facts.state.value_kb")
         need(s.facts.state.txnOps >= 4, "facts.state.txn_ops", "must be at least 4")
+        s.facts.state.next?.let { next ->
+            next.rps?.let { positive(it, "facts.state.next.rps") }
+            next.writeRps?.let { positive(it, "facts.state.next.write_rps") }
+            next.valueKb?.let { positive(it, "facts.state.next.value_kb") }
+            next.txnOps?.let { need(it >= 4, "facts.state.next.txn_ops", "must be at least 4") }
+        }
         positive(s.facts.cloud.rps, "facts.cloud.rps")
         need(s.facts.limits.fdLimit > 32, "facts.limits.fd_limit", "must be above 32")
     }
--- a/src/main/kotlin/wardmux/cloud/TypeBook.kt
+++ b/src/main/kotlin/wardmux/cloud/TypeBook.kt
@@ -8,6 +8,7 @@
 import wardmux.store.Priority
 import wardmux.store.Result
 import wardmux.store.StateStore
+import wardmux.store.jsonBytes
 
 /**
  * The machine types, kept in the state service so that an outage of the cloud does not keep a fresh
@@ -63,7 +64,10 @@
     }
 
     private fun keep(found: List<MachineType>) {
-        val change = Change(put = MachineType.KEY, data = MachineType.toJson(found))
+        val data = MachineType.toJson(found)
+        // Too large to keep: whoever starts asks the cloud.
+        if (jsonBytes(data) > store.maxValueBytes) return
+        val change = Change(put = MachineType.KEY, data = data)
         store.multi(emptyList(), listOf(change), Priority.LEADER) {}
     }
 
--- a/src/main/kotlin/wardmux/dispatch/FairQueue.kt
+++ b/src/main/kotlin/wardmux/dispatch/FairQueue.kt
@@ -8,6 +8,7 @@
 import kotlinx.serialization.json.JsonElement
 import wardmux.Micros
 import wardmux.logger
+import wardmux.store.jsonBytes
 import wardmux.store.lenientJson
 
 /** CPU-microseconds: the largest booked share in CPUs, times the run time. */
@@ -98,18 +99,29 @@
         clock = maxOf(clock, accounts.values.maxOfOrNull { it.finishTag } ?: clock)
     }
 
-    /** Teams that neither lead the clock nor have usage left are as new, and are left out. */
-    fun toJson(wall: Micros): JsonElement {
+    /**
+     * Teams that neither lead the clock nor have usage left are as new, and are left out; if the
+     * rest takes more than a value may, those that are nearest to that as well.
+     */
+    fun toJson(wall: Micros, mostBytes: Int = Int.MAX_VALUE): JsonElement {
         val kept =
             accounts
                 .filter { (_, a) -> a.finishTag > clock || a.usage > NEGLIGIBLE }
                 .mapValues { (team, a) -> AccountWire(a.finishTag, usage(team, wall)) }
-        return lenientJson.encodeToJsonElement(
-            TagsWire.serializer(),
-            TagsWire(clock, wall.value, kept),
-        )
+        val whole = toJson(kept, wall)
+        if (jsonBytes(whole) <= mostBytes) return whole
+        val left = kept.entries.sortedBy { it.value.tag }.toMutableList()
+        while (left.isNotEmpty()) {
+            left.removeFirst()
+            val json = toJson(left.associate { it.key to it.value }, wall)
+            if (jsonBytes(json) <= mostBytes) return json
+        }
+        return toJson(emptyMap(), wall)
     }
 
+    private fun toJson(kept: Map<String, AccountWire>, wall: Micros): JsonElement =
+        lenientJson.encodeToJsonElement(TagsWire.serializer(), TagsWire(clock, wall.value, kept))
+
     fun load(json: JsonElement) {
         val wire =
             try {
--- a/src/main/kotlin/wardmux/dispatch/Job.kt
+++ b/src/main/kotlin/wardmux/dispatch/Job.kt
@@ -119,6 +119,17 @@
         return -1
     }
 
+    /** Its page is full for now: its turn comes after that of all others, with its page's rest. */
+    fun setAside(task: Int) {
+        cameBack.enqueue(task)
+        val end = lastOf(task) + 1
+        if (nextFresh <= task || nextFresh > end) return
+        while (nextFresh < end) {
+            val next = nextFresh++
+            if (free(next) && !attempts.containsKey(next)) cameBack.enqueue(next)
+        }
+    }
+
     fun putBack(task: Int) = cameBack.enqueueFirst(task)
 
     private fun free(task: Int) = !done.get(task) && !placements.containsKey(task)
@@ -185,6 +196,16 @@
         }
     }
 
+    /** The last task on the page of [task]. */
+    fun lastOf(task: Int): Int = minOf((task / pageSize + 1) * pageSize, spec.tasks) - 1
+
+    /** Tasks of the page that were tried and are not done. */
+    fun openIn(page: Int): Int {
+        val from = page * pageSize
+        val to = minOf(from + pageSize, spec.tasks)
+        return (from until to).count { !done.get(it) && attempts.get(it) > 0 }
+    }
+
     /** What the page holds now; the caller writes it and then calls [written]. */
     fun page(page: Int): JsonElement {
         val from = page * pageSize
@@ -273,7 +294,7 @@
          * A placement's record takes at most about this much, on a machine of its own and charged
          * unlike all others, so that a page fits a value. As a rule it takes a quarter of that.
          */
-        private const val BYTES_A_TASK = 64
+        const val BYTES_A_TASK = 64
         private val NO_PAGES = IntArray(0)
 
         fun pageKey(job: JobId, page: Int) = "$PAGES${job.value}/$page"
--- a/src/main/kotlin/wardmux/dispatch/Ledger.kt
+++ b/src/main/kotlin/wardmux/dispatch/Ledger.kt
@@ -1,5 +1,6 @@
 package wardmux.dispatch
 
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap
 import it.unimi.dsi.fastutil.ints.IntOpenHashSet
 import java.util.BitSet
 import kotlinx.serialization.json.JsonElement
@@ -21,22 +22,45 @@
 import wardmux.store.Priority
 import wardmux.store.Result
 import wardmux.store.StateStore
+import wardmux.store.jsonBytes
 
 /** The pages that one write still takes, for the planner: what can't be written isn't placed. */
-class Admission(private var left: Int) {
+class Admission(private var left: Int, private val mostBytes: Int = Int.MAX_VALUE) {
     private val pages = HashMap<JobId, IntOpenHashSet>()
 
+    /** How full the pages are that could become larger than a value may be. */
+    private val fills = HashMap<JobId, Int2ObjectOpenHashMap<PageFill>>()
+
     /** True if no task of the job can be admitted, whichever it is, as none of its pages is. */
     fun closedTo(job: Job) = left <= 0 && job.id !in pages
 
     fun admits(job: Job, task: Int): Boolean {
         val page = task / job.pageSize
         val own = pages[job.id]
-        if (own != null && own.contains(page)) return true
-        if (left <= 0) return false
+        val open = own != null && own.contains(page)
+        if (!open && left <= 0) return false
+        if (fill(job, page)?.hasRoom(job, task) == false) return false
+        if (open) return true
         left--
         return pages.getOrPut(job.id) { IntOpenHashSet() }.add(page)
     }
+
+    /** True if its page can't take it, though others of the job may. */
+    fun isFull(job: Job, task: Int) = fill(job, task / job.pageSize)?.hasRoom(job, task) == false
+
+    /** It is placed as it was admitted. */
+    fun took(placement: Placement) {
+        val job = placement.job
+        fill(job, placement.task.index / job.pageSize)?.add(placement)
+    }
+
+    /** Null if the page fits whatever is placed on it. */
+    private fun fill(job: Job, page: Int): PageFill? {
+        if (PageFill.fitsAlways(job, mostBytes)) return null
+        return fills
+            .getOrPut(job.id) { Int2ObjectOpenHashMap() }
+            .getOrPut(page) { PageFill(job, page, mostBytes) }
+    }
 }
 
 /**
@@ -102,6 +126,9 @@
     private val absolving = LinkedHashSet<Machine>()
     private var inFlight = false
 
+    /** Pages that were too large to be written, and when they are looked at again. */
+    private val tooLargeUntil = HashMap<String, Micros>()
+
     /**
      * Every write replaces the tags and holds only while they are as last seen. Pages alone do not
      * order two writes to different jobs: one that is applied late, after it was given up on, would
@@ -128,8 +155,10 @@
      */
     fun admission(): Admission {
         // One change is kept for the tags.
-        val others = minOf(condemning.size, 1) + finishing().take(2).count() * 2
-        return Admission(store.maxChanges - 1 - others)
+        // Where a transaction holds few, ends never take all that a start needs.
+        val ends = minOf(finishing().take(2).count() * 2, store.maxChanges - 2)
+        val others = minOf(condemning.size, 1) + ends
+        return Admission(store.maxChanges - 1 - others, store.maxValueBytes)
     }
 
     private fun finishing() =
@@ -146,7 +175,7 @@
         addAbsolved(draft)
         if (draft.changes.isEmpty()) return
         draft.conditions.add(Condition(FairQueue.KEY, tagsStamp))
-        draft.put(FairQueue.KEY, cluster.queue.toJson(desk.wall))
+        draft.put(FairQueue.KEY, cluster.queue.toJson(desk.wall, store.maxValueBytes))
         inFlight = true
         store.multi(draft.conditions, draft.changes, Priority.LEADER) { settle(draft, it) }
         nextAt = desk.now + period
@@ -157,8 +186,14 @@
             for (page in job.dirtyPages()) {
                 if (!job.hasPlanned(page)) continue
                 if (!draft.room(1, 2)) return
-                draft.conditions.add(Condition(JobRecord.key(job.id), job.stamp.value))
-                addPage(draft, job, page)
+                if (addPage(draft, job, page)) {
+                    draft.conditions.add(Condition(JobRecord.key(job.id), job.stamp.value))
+                } else {
+                    // No start goes out without its record.
+                    for (placement in job.placementsOf(page)) {
+                        if (!placement.committed) cluster.undo(placement)
+                    }
+                }
             }
         }
     }
@@ -188,6 +223,8 @@
             if (job.over || job.complete || desk.wall - since < PATIENCE) continue
             for (page in job.dirtyPages()) {
                 if (job.hasPlanned(page)) continue
+                val key = Job.pageKey(job.id, page)
+                if (tooLargeUntil[key]?.let { desk.now < it } == true) continue
                 if (!draft.room(1, 1)) return
                 addPage(draft, job, page)
             }
@@ -203,6 +240,7 @@
                 // Nobody waits for it, so it never takes what a start or an end needs.
                 if (!draft.room(1, 1) || draft.changes.size >= store.writesToSpare) return
                 val key = Job.pageKey(job.id, page)
+                tooLargeUntil.remove(key)
                 draft.conditions.add(Condition(key, job.pageStamp(page)))
                 draft.changes.add(Change(remove = key))
                 draft.pages.add(WrittenPage(job, page, BitSet(), emptyList(), removed = true))
@@ -222,13 +260,25 @@
         }
     }
 
-    private fun addPage(draft: Draft, job: Job, page: Int) {
+    /**
+     * False if it is larger than a value may be now: an earlier leader wrote it under higher
+     * limits. It waits until enough of its tasks ended. Until then the machines keep how they
+     * ended, and the job is done by its record, which needs no page.
+     */
+    private fun addPage(draft: Draft, job: Job, page: Int): Boolean {
         val key = Job.pageKey(job.id, page)
+        val data = job.page(page)
+        if (jsonBytes(data) > store.maxValueBytes) {
+            tooLargeUntil[key] = desk.now + TOO_LARGE_PAUSE
+            return false
+        }
+        tooLargeUntil.remove(key)
         draft.conditions.add(Condition(key, job.pageStamp(page)))
-        draft.put(key, job.page(page))
+        draft.put(key, data)
         val planned = job.placementsOf(page).filter { !it.committed }
         draft.pages.add(WrittenPage(job, page, job.doneIn(page), planned, removed = false))
         job.clean(page)
+        return true
     }
 
     private fun settle(draft: Draft, result: Result<Long>) {
@@ -309,6 +359,7 @@
          * leader is told again.
          */
         private val PATIENCE = 3.secs
+        private val TOO_LARGE_PAUSE = 1.secs
         private val INVALID_PAUSE = 5.secs
 
         fun machineKey(machine: Machine) = "$MACHINES${machine.id.value}"
--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -205,18 +205,30 @@
         if (admission.closedTo(job)) return null
         val seats = pass.seatsFor(job) ?: return null
         val machine = seats.best() ?: return null
-        val task = job.takeWaiting()
+        val task = nextAdmitted(job, admission)
         if (task < 0) return null
-        if (!admission.admits(job, task)) {
-            job.putBack(task)
-            return null
-        }
         val placement = cluster.place(job, task, machine)
+        admission.took(placement)
         seats.taken(machine)
         log.debug("{} try {} goes to {}", placement.task, placement.attempt, machine.id)
         return placement
     }
 
+    /** The next waiting task that the write to come takes, or -1. */
+    private fun nextAdmitted(job: Job, admission: Admission): Int {
+        repeat(minOf(job.waiting, MOST_ASIDE)) {
+            val task = job.takeWaiting()
+            if (task < 0) return -1
+            if (admission.admits(job, task)) return task
+            if (!admission.isFull(job, task)) {
+                job.putBack(task)
+                return -1
+            }
+            job.setAside(task)
+        }
+        return -1
+    }
+
     /**
      * A gang goes as one unit, once room and cap fit all of it. What is still out of an earlier try
      * is taken down first: its tasks are of no use without the others.
@@ -312,6 +324,9 @@
         const val FETCH_WEIGHT = 0.5
         const val DEAR_WEIGHT = 0.5
         const val SAVE_MARGIN_S = 1.0
+
+        /** Tasks that are passed over in one look, as their pages are full. */
+        const val MOST_ASIDE = 600
         val SCARCE_AFTER = 4.secs
         val UNANSWERED = 1.secs
     }
--- a/src/main/kotlin/wardmux/intake/Intake.kt
+++ b/src/main/kotlin/wardmux/intake/Intake.kt
@@ -192,7 +192,7 @@
     }
 
     private fun cancel(call: Long, id: JobId, item: Item, record: JobRecord, tries: Int) {
-        val cancelled = record.copy(state = JobState.CANCELLED).toJson()
+        val cancelled = record.cancelled(store.maxValueBytes).toJson()
         val changes =
             listOf(
                 Change(put = JobRecord.key(id), data = cancelled),
--- a/src/main/kotlin/wardmux/intake/JobRecord.kt
+++ b/src/main/kotlin/wardmux/intake/JobRecord.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.json.JsonElement
 import wardmux.JobId
 import wardmux.logger
+import wardmux.store.jsonBytes
 import wardmux.store.lenientJson
 
 @Serializable
@@ -27,7 +28,21 @@
 ) {
     fun toJson(): JsonElement = lenientJson.encodeToJsonElement(serializer(), this)
 
+    /**
+     * Cancelled. A record that the version before accepted may be larger than a value may be now:
+     * what is left of the job is found and taken down by less.
+     */
+    fun cancelled(mostBytes: Int): JobRecord {
+        val whole = copy(state = JobState.CANCELLED)
+        if (jsonBytes(whole.toJson()) <= mostBytes) return whole
+        return whole.copy(spec = spec?.copy(jobClass = "", image = "", types = null, zone = null))
+    }
+
     companion object {
+        /** The most bytes that a job's record takes. */
+        fun takes(spec: JobSpec): Int =
+            jsonBytes(JobRecord(JobState.CANCELLED, Long.MAX_VALUE, spec).toJson())
+
         const val PREFIX = "j/"
 
         /**
--- a/src/main/kotlin/wardmux/intake/JobSpec.kt
+++ b/src/main/kotlin/wardmux/intake/JobSpec.kt
@@ -83,6 +83,13 @@
     private val plainNumber = Regex("-?[0-9]+(\\.[0-9]+)?([eE][+-]?[0-9]+)?")
     private const val MAX_TEXT = 200
 
+    /**
+     * A job's record has to fit the smallest value that the state service may come to hold, 2 KiB:
+     * with names of up to [MAX_TEXT] and any number of `boxkinds` it might not. A usual one takes a
+     * quarter of that.
+     */
+    const val MAX_RECORD = 2_000
+
     private class Wrong(message: String) : Exception(message)
 
     fun isId(text: String) = idForm.matches(text)
@@ -102,7 +109,11 @@
             val name = text(json, "name_id")
             if (!isId(name)) throw Wrong("name_id")
             id = JobId(name)
-            Submission.Good(spec(name, json))
+            Submission.Good(
+                spec(name, json).also {
+                    if (JobRecord.takes(it) > MAX_RECORD) throw Wrong("too large")
+                }
+            )
         } catch (e: Wrong) {
             Submission.Malformed(id, "missing or invalid: ${e.message}")
         }
--- a/src/main/kotlin/wardmux/lead/Term.kt
+++ b/src/main/kotlin/wardmux/lead/Term.kt
@@ -61,7 +61,7 @@
 ) : Ledger.Listener {
     private val log = logger<Term>()
     private val facts = platform.facts
-    private val pageSize = Job.pageSize(store.maxValueBytes)
+    private val pageSize = Job.pageSize(store.layoutBytes)
 
     /** How long leases may be renewed without knowing of a cancellation. */
     private val uninformedFor: Micros =
--- a/src/main/kotlin/wardmux/relay/Detour.kt
+++ b/src/main/kotlin/wardmux/relay/Detour.kt
@@ -77,6 +77,10 @@
     private var writeAt = Micros.LONG_AGO
     private var over = false
 
+    /** The most that packed answers may take. */
+    private val most: Int
+        get() = store.maxValueBytes - Detour.SLACK
+
     fun end() {
         over = true
     }
@@ -119,10 +123,17 @@
     private fun write() {
         val all = LinkedHashMap(answers)
         var packed = RelayCodec.pack(StoredAnswers(all))
-        if (packed.length > store.maxValueBytes - Detour.SLACK) {
-            packed = RelayCodec.pack(StoredAnswers(all.mapValues { it.value.withoutMail() }))
+        if (packed.length > most) {
+            all.replaceAll { _, answer -> answer.withoutMail() }
+            packed = RelayCodec.pack(StoredAnswers(all))
+        }
+        // The rest goes with the next write, and whoever no longer waits for it asks again.
+        while (packed.length > most && all.size > 1) {
+            all.remove(all.keys.last())
+            packed = RelayCodec.pack(StoredAnswers(all))
         }
-        answers.clear()
+        answers.keys.removeAll(all.keys.toSet())
+        if (packed.length > most) return log.error("an answer is too large to be kept")
         writing = true
         writeAt = desk.now + WRITE_PERIOD
         val change = Change(put = Detour.ANSWERS, data = JsonPrimitive(packed))
--- a/src/main/kotlin/wardmux/relay/Relay.kt
+++ b/src/main/kotlin/wardmux/relay/Relay.kt
@@ -258,14 +258,19 @@
             bytes += seen.body.size
         }
         val told = ArrayList<Long>(signs.size * 2)
-        for (entry in signs.long2LongEntrySet()) {
+        // A stored batch holds few where values are small; the next one takes the rest.
+        val mostSigns = if (detours) maxOf(detour.mostBytes / SIGN_BYTES, 1) else Int.MAX_VALUE
+        val entries = signs.long2LongEntrySet().iterator()
+        while (entries.hasNext() && told.size / 2 < mostSigns) {
+            val entry = entries.next()
             told.add(entry.longKey)
             told.add(entry.longValue)
+            entries.remove()
         }
-        signs.clear()
-        urgent = whole.isNotEmpty()
+        val complete = whole.isEmpty() && signs.isEmpty()
+        urgent = !complete
         // What is left out here was answered too, so the leader may not take this for all.
-        val known = if (whole.isEmpty()) echo else 0
+        val known = if (complete) echo else 0
         val since = (desk.now - echoAt).value
         val batch = Batch(member, boot, ++batches, current.value, known, since, reports, told)
         busy = true
@@ -299,7 +304,7 @@
             roundBytes = minOf(roundBytes * 2, detour.mostBytes * LEAST_PACKED)
             return detour.ask(batch, packed, then)
         }
-        roundBytes /= 2
+        roundBytes = maxOf(roundBytes / 2, 1)
         then(null)
     }
 
@@ -363,5 +368,8 @@
 
         /** Reports are packed to a fifth or less. */
         const val LEAST_PACKED = 4
+
+        /** The most that a machine's number and tick take in a stored batch. */
+        const val SIGN_BYTES = 12
     }
 }
--- a/src/main/kotlin/wardmux/store/StateStore.kt
+++ b/src/main/kotlin/wardmux/store/StateStore.kt
@@ -22,6 +22,11 @@
     encodeDefaults = true
 }
 
+/** The most bytes that a value takes, also where the service escapes what is not ASCII. */
+fun jsonBytes(data: JsonElement): Int = data.toString().sumOf { if (it < '\u0080') 1 else ESCAPED }
+
+private const val ESCAPED: Int = 6
+
 @Serializable
 data class Item(
     @SerialName("k") val key: String,
@@ -113,7 +118,10 @@
  * The state service as this controller may use it: its share of the request and write limits, the
  * lease before all else, and never more than the service's own limits on one transaction.
  */
-class StateStore(private val desk: Desk, private val facts: StateFacts, private val nodes: Int) {
+class StateStore(private val desk: Desk, limits: StateFacts, private val nodes: Int) {
+    /** Lower limits may hold from any moment on, so they are kept from the start. */
+    private val facts = limits.lowest
+
     private class Request(
         val writes: Int,
         val deadline: Micros,
@@ -146,6 +154,13 @@
     val maxConditions: Int
         get() = facts.txnOps * 4
 
+    /**
+     * What the layout of stored pages is made for: it stays as the version before has it, which
+     * reads and writes the same keys, whatever the limits to come.
+     */
+    val layoutBytes: Int = (limits.valueKb * 1024).toInt()
+
+    /** The largest value that may be written. */
     val maxValueBytes: Int
         get() = (facts.valueKb * 1024).toInt()
 
@@ -415,7 +430,11 @@
 
     /** A whole transaction must fit, or it would wait for ever; only a leader's are large. */
     private fun writeBurst() =
-        maxOf(writeRate(), if (leading) facts.txnOps.toDouble() else facts.writeRps * USERS_BURST)
+        maxOf(
+            writeRate(),
+            if (leading) facts.txnOps.toDouble()
+            else maxOf(facts.writeRps * USERS_BURST, USERS_CHANGES),
+        )
 
     private companion object {
         const val LEADERS_REQUESTS = 0.3
@@ -426,6 +445,9 @@
          * second. Where several bunches meet, the service refuses and they are sent again.
          */
         const val USERS_BURST = 0.33
+
+        /** What a cancellation takes, however low the rate. */
+        const val USERS_CHANGES = 3.0
         val LIMITED_PAUSE = 150.millis
         const val MARGIN = 0.95
         val QUEUE_TIME = 1_200.millis
--- a/src/test/kotlin/wardmux/app/SettingsTest.kt
+++ b/src/test/kotlin/wardmux/app/SettingsTest.kt
@@ -5,6 +5,7 @@
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
 import kotlin.test.assertFailsWith
+import kotlin.test.assertNull
 import org.junit.jupiter.api.io.TempDir
 
 class SettingsTest {
@@ -53,6 +54,41 @@
         assertContains(refused(Rehearsal.SAMPLE.replace("txn_ops = 48", "txn_ops = \"x\"")), "x")
     }
 
+    private val sampleWithNext =
+        Rehearsal.SAMPLE.replace(
+            "txn_ops = 48",
+            "txn_ops = 48\n[facts.state.next]\nwrite_rps = 18.0\nvalue_kb = 2.0\ntxn_ops = 4",
+        )
+
+    @Test
+    fun `limits to come may be named, and the smaller of both are kept`() {
+        val without = SettingsFiles.platform(file(Rehearsal.SAMPLE)).facts.state
+        assertNull(without.next)
+        assertEquals(without, without.lowest)
+        val with = SettingsFiles.platform(file(sampleWithNext)).facts.state
+        assertEquals(48, with.txnOps)
+        assertEquals(StateFacts(with.rps, 18.0, 2.0, 4), with.lowest)
+        val one = with.copy(next = NextStateFacts(rps = 9.0, txnOps = 99))
+        assertEquals(without.copy(rps = 9.0), one.lowest)
+        val partial = sampleWithNext.replace("value_kb = 2.0\ntxn_ops = 4", "later = 1")
+        val read = SettingsFiles.platform(file(partial)).facts.state
+        assertEquals(without.copy(writeRps = 18.0), read.lowest)
+    }
+
+    @Test
+    fun `a wrong limit to come is named`() {
+        for ((good, bad) in
+            mapOf(
+                "write_rps = 18.0" to "write_rps = 0.0",
+                "value_kb = 2.0" to "value_kb = -2.0",
+                "txn_ops = 4\n" to "txn_ops = 3\n",
+                "write_rps = 18.0" to "rps = 0.0",
+            )) {
+            val wrong = (sampleWithNext + "\n").replace(good, bad)
+            assertContains(refused(wrong), "facts.state.next.${bad.substringBefore(' ')}")
+        }
+    }
+
     @Test
     fun `an unreadable file is named`() {
         val missing = File(dir, "none.toml")
--- a/src/test/kotlin/wardmux/dispatch/FairQueueTest.kt
+++ b/src/test/kotlin/wardmux/dispatch/FairQueueTest.kt
@@ -78,7 +78,7 @@
         queue.charge("a", second, Micros.ZERO)
         queue.charge("b", Cost(7_000_000), Micros.ZERO)
         val next = plain("a" to 2.0, "b" to 1.0)
-        next.load(queue.toJson(Micros.ZERO))
+        next.load(queue.toJson(Micros.ZERO, mostBytes = 2048))
         assertEquals(queue.clock, next.clock)
         for (team in listOf("a", "b")) {
             assertEquals(queue.startTag(team), next.startTag(team))
@@ -95,4 +95,18 @@
         queue.undo("a", charge, Micros.ZERO)
         assertEquals(before, queue.startTag("a"))
     }
+
+    @Test
+    fun `of more teams than a value holds the least ahead are left out`() {
+        val names = List(100) { "team-$it" }
+        val many = FairQueue(names.associateWith { 10.0 }, 600.secs, 600.0)
+        for ((i, name) in names.withIndex()) many.charge(
+            name,
+            Cost(10_000_000L * (i + 1)),
+            Micros.ZERO,
+        )
+        val json = many.toJson(Micros.ZERO, mostBytes = 2048).toString()
+        assertTrue(json.length in 1_800..2048, "${json.length} bytes")
+        assertTrue("team-99" in json && "\"team-3\"" !in json, json)
+    }
 }
--- a/src/test/kotlin/wardmux/dispatch/JobPageTest.kt
+++ b/src/test/kotlin/wardmux/dispatch/JobPageTest.kt
@@ -32,6 +32,55 @@
         }
     }
 
+    @Test
+    fun `no more goes onto a page than a smaller value holds`() {
+        val read = SubmissionReader.read(submission()) as Submission.Good
+        val spec = read.spec.copy(tasks = 300)
+        for (limit in listOf(1024, 2048)) {
+            for (perMachine in listOf(1, 3, 16)) {
+                val job = Job(spec, Stamp(1), Micros.ZERO, Job.pageSize(16 * 1024))
+                // What two rounds admit, ended in between as badly as can be.
+                repeat(2) {
+                    val admission = Admission(7, limit)
+                    for (task in 0 until spec.tasks) {
+                        if (job.isDone(task) || job.placements.containsKey(task)) continue
+                        if (!admission.admits(job, task)) continue
+                        val placement = widest(job, task, job.nextAttempt(task), task / perMachine)
+                        job.place(placement, Micros.ZERO)
+                        admission.took(placement)
+                    }
+                    assertTrue(job.placements.size > 4, "too few for $limit: $perMachine")
+                    assertFits(job, limit)
+                    for (placement in job.placements.values.toList()) {
+                        if (placement.task.index % 2 == 0) {
+                            job.complete(placement.task.index, Micros.ZERO)
+                        }
+                        job.release(placement, Micros.ZERO)
+                    }
+                    assertFits(job, limit)
+                }
+            }
+        }
+    }
+
+    private fun assertFits(job: Job, limit: Int) {
+        for (page in 0..1) {
+            val bytes = job.page(page).toString().length
+            assertTrue(bytes <= limit, "page $page takes $bytes of $limit")
+        }
+    }
+
+    private fun widest(job: Job, task: Int, attempt: Int, machine: Int) =
+        Placement(
+            job,
+            TaskId(job.id, task),
+            attempt,
+            MachineId("i-${100_000 + machine}"),
+            1_000_000,
+            "buda-hall",
+            Charge(Cost(9_999_000_000), 1230.0 + machine % 3),
+        )
+
     private fun widest(job: Job, task: Int) =
         Placement(
             job,
--- a/src/test/kotlin/wardmux/intake/SubmissionReaderTest.kt
+++ b/src/test/kotlin/wardmux/intake/SubmissionReaderTest.kt
@@ -4,10 +4,13 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonNull
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
+import wardmux.JobId
 
 val GOOD_FIELDS: Map<String, JsonElement> =
     mapOf(
@@ -113,4 +116,37 @@
         }
         assertEquals("job-000412", malformed(submission("cores" to null)).id?.value)
     }
+
+    @Test
+    fun `one whose record would be larger than a value may be is malformed`() {
+        val long = "x".repeat(200)
+        val kinds = { n: Int -> JsonArray(List(n) { JsonPrimitive("kind-%03d".format(it)) }) }
+        assertIs<Submission.Good>(SubmissionReader.read(submission("boxkinds" to kinds(60))))
+        assertIs<Submission.Good>(
+            SubmissionReader.read(
+                submission("bundle" to JsonPrimitive(long), "jobclass" to JsonPrimitive(long))
+            )
+        )
+        assertEquals(JobId("job-000412"), malformed(submission("boxkinds" to kinds(400))).id)
+        val one = JsonArray(listOf(JsonPrimitive("x".repeat(3_000))))
+        malformed(submission("boxkinds" to one))
+        // Six bytes each, should the service escape them.
+        malformed(
+            submission(
+                "bundle" to JsonPrimitive("\u00e9".repeat(200)),
+                "jobclass" to JsonPrimitive("\u00e9".repeat(200)),
+            )
+        )
+    }
+
+    @Test
+    fun `a larger one that was accepted before can still be cancelled`() {
+        val good = SubmissionReader.read(submission()) as Submission.Good
+        val large = good.spec.copy(types = List(400) { "kind-$it" })
+        val small = JobRecord(JobState.ACCEPTED, 1, large).cancelled(2048)
+        assertTrue(small.toJson().toString().length < 2048)
+        assertEquals(JobState.CANCELLED, small.state)
+        assertEquals(large.tasks to large.cpus, small.spec?.let { it.tasks to it.cpus })
+        assertEquals(large, JobRecord(JobState.ACCEPTED, 1, large).cancelled(16_384).spec)
+    }
 }
--- /dev/null
+++ b/src/test/kotlin/wardmux/sim/LoweredLimitsTest.kt
@@ -0,0 +1,129 @@
+package wardmux.sim
+
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import wardmux.Micros
+import wardmux.app.NextStateFacts
+import wardmux.app.OperatorSettings
+import wardmux.intake.Shape
+import wardmux.intake.Urgency
+import wardmux.millis
+import wardmux.secs
+
+/** The limits of the state service fall in mid-day, without notice. */
+class LoweredLimitsTest {
+    private class Day(
+        seed: Long,
+        told: NextStateFacts?,
+        operators: OperatorSettings = OperatorSettings(),
+    ) {
+        val world = World(seed, operators = operators, told = told)
+        val clock = world.clock
+        val jobs = ArrayList<String>()
+
+        fun submit(alwaysWide: Boolean = false) {
+            val random = world.randomJob()
+            val spec = if (alwaysWide) random.copy(shape = Shape.BATCH) else random
+            val wide = alwaysWide || spec.shape == Shape.BATCH && clock.chance(0.5)
+            // So many on one page that its record is larger than a value may be later.
+            val job =
+                if (!wide) spec
+                else
+                    spec.copy(
+                        tasks = 120,
+                        cpus = 0.25,
+                        gpus = 0.0,
+                        memoryGb = 0.1,
+                        types = null,
+                        zone = null,
+                        oneZone = false,
+                        spread = false,
+                        estimateS = clock.between(4.secs, 25.secs).seconds,
+                        urgency = Urgency.PROD,
+                    )
+            jobs.add(job.id)
+            world.submit(job)
+            val daemon = spec.shape == Shape.DAEMON
+            if (daemon || clock.chance(0.2)) {
+                clock.after(clock.between(1.secs, 60.secs)) { world.cancel(job.id) }
+            }
+        }
+
+        fun crashes(from: Micros) {
+            repeat(6) { i ->
+                clock.after(from + (9 * i).secs) {
+                    if (clock.chance(0.5)) {
+                        world.leader()?.let { world.crash(it, clock.between(200.millis, 5.secs)) }
+                    } else {
+                        world.cloud.workers().randomOrNull(clock.random)?.let {
+                            world.cloud.kill(it)
+                        }
+                    }
+                }
+            }
+        }
+
+        fun end() {
+            world.run(330.secs)
+            assertEquals(emptyList(), world.problems())
+            assertEquals(emptyList(), world.state.beyond)
+            assertTrue(world.rules.starts > 0, "nothing ran")
+            assertEquals(emptyList(), jobs.filter { world.rules.finalOf(it) == null })
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4, 5, 6])
+    fun `who is told of them beforehand never goes beyond`(seed: Long) {
+        val day = Day(seed, LOWER)
+        for (at in 2..100 step 7) day.clock.after(at.secs) { day.submit() }
+        day.clock.after(40.secs) { day.world.state.lower(LOWER) }
+        day.crashes(20.secs)
+        day.end()
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [11, 12, 13, 14, 15, 16])
+    fun `pages stored before are read, taken down and rewritten once they fit`(seed: Long) {
+        val day = Day(seed, told = null)
+        val world = day.world
+        for (at in 2..100 step 7) day.clock.after(at.secs) { day.submit() }
+        for (at in listOf(1, 8)) day.clock.after(at.secs) { day.submit(alwaysWide = true) }
+        var fallen = false
+        day.clock.every(100.millis) {
+            // All come back told, while a page is large, and the limits fall at once.
+            if (!fallen && world.state.largest("t/") > 1024) {
+                fallen = true
+                world.told = LOWER
+                for (node in world.nodes) world.crash(node, 500.millis)
+                day.clock.after(400.millis) { world.state.lower(LOWER) }
+            }
+        }
+        day.crashes(35.secs)
+        day.end()
+        assertTrue(fallen, "no page was larger than a value may be later")
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [21, 22, 23])
+    fun `nor do batches and answers that go round by the service`(seed: Long) {
+        val day = Day(seed, LOWER, OperatorSettings(reportsPerCore = 0.0))
+        val world = day.world
+        for (at in 2..100 step 7) day.clock.after(at.secs) { day.submit() }
+        world.state.lower(LOWER)
+        day.clock.after(20.secs) {
+            for (a in world.nodes) for (b in world.nodes) if (a != b) world.network.part(a, b)
+        }
+        day.clock.after(70.secs) {
+            for (a in world.nodes) for (b in world.nodes) if (a != b) world.network.join(a, b)
+        }
+        day.end()
+        assertTrue(world.state.largest("r/") > 0, "no batch went round")
+    }
+
+    private companion object {
+        val LOWER = NextStateFacts(writeRps = 18.0, valueKb = 1.0, txnOps = 4)
+    }
+}
--- a/src/test/kotlin/wardmux/sim/StateStandIn.kt
+++ b/src/test/kotlin/wardmux/sim/StateStandIn.kt
@@ -17,6 +17,7 @@
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
 import wardmux.Micros
+import wardmux.app.NextStateFacts
 import wardmux.app.StateFacts
 import wardmux.millis
 
@@ -80,6 +81,17 @@
     var refusedWatchesWait = false
     val problems = ArrayList<String>()
 
+    /** Lower limits than those it began with, or null. */
+    private var lowered: NextStateFacts? = null
+    private val written = ArrayDeque<Micros>()
+
+    /** What was refused for its size under the lower limits. */
+    val beyond = ArrayList<String>()
+
+    /** How often changes were refused for their rate under the lower limits. */
+    var limited = 0
+        private set
+
     /** Which transactions get no answer and are carried out 2 to 12 s later. */
     var late: (from: String, transaction: JsonObject) -> Boolean = { _, _ -> false }
     val carriedOutLate = ArrayList<LateTransaction>()
@@ -234,6 +246,20 @@
         if (conditions.size > facts.txnOps * 4) problems.add("${conditions.size} conditions")
         if (json.toString().length > 65_536)
             problems.add("a transaction of ${json.toString().length}")
+        lowered?.let { limits ->
+            val large = then.map { it.jsonObject }.firstOrNull { tooLarge(it, limits) }
+            if (large != null || then.size > (limits.txnOps ?: Int.MAX_VALUE)) {
+                val what = large?.get("put")?.jsonPrimitive?.content ?: "${then.size} changes"
+                beyond.add("$what from $from")
+                return answer(400, """{"error":"too large"}""")
+            }
+            written.removeIf { it < clock.now - 1_000.millis }
+            if (written.size + then.size > (limits.writeRps ?: Double.MAX_VALUE)) {
+                limited++
+                return answer(429, "{}")
+            }
+            repeat(then.size) { written.addLast(clock.now) }
+        }
         val failed =
             conditions
                 .map { it.jsonObject }
@@ -271,6 +297,22 @@
         wake()
     }
 
+    private fun tooLarge(change: JsonObject, limits: NextStateFacts) =
+        change["data"].toString().length > (limits.valueKb ?: Double.MAX_VALUE) * 1024
+
+    /** In force from now on, though nobody is told. */
+    fun lower(limits: NextStateFacts) {
+        lowered = limits
+    }
+
+    /** The largest value of those that are stored under [prefix]. */
+    fun largest(prefix: String): Int =
+        keys
+            .tailMap(prefix)
+            .filterKeys { it.startsWith(prefix) }
+            .values
+            .maxOfOrNull { it.data.toString().length } ?: 0
+
     private val maxValue = (facts.valueKb * 1024).toInt()
 
     private fun JsonObject.text(name: String) = getValue(name).jsonPrimitive.content
--- a/src/test/kotlin/wardmux/sim/World.kt
+++ b/src/test/kotlin/wardmux/sim/World.kt
@@ -14,6 +14,7 @@
 import wardmux.app.Controller
 import wardmux.app.Facts
 import wardmux.app.LimitFacts
+import wardmux.app.NextStateFacts
 import wardmux.app.OperatorSettings
 import wardmux.app.PlatformSettings
 import wardmux.app.ServiceSettings
@@ -35,6 +36,8 @@
     private val operators: OperatorSettings = OperatorSettings(),
     /** Some machines are up at the start. */
     rented: Boolean = true,
+    /** The limits that controllers which start from now on are told of beforehand. */
+    var told: NextStateFacts? = null,
 ) {
     val clock = Clockwork(seed)
     val network = Network(clock)
@@ -200,7 +203,7 @@
             peerAddress = "10.0.0.1:81",
             siblings = (nodes - member).map { SiblingSettings(it, address = "10.0.0.1:81") },
             services = ServiceSettings("10.0.0.1:82", "10.0.0.1:83"),
-            facts = facts,
+            facts = facts.copy(state = facts.state.copy(next = told)),
         )
 
     private fun call(
