--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -211,18 +211,30 @@
     private fun placeNext(job: Job, pass: Pass, seats: Seats): Placement? {
         val admission = pass.round.admission
         val machine = seats.best() ?: return null
-        val task = job.takeWaiting()
+        val task = nextAdmitted(job, admission)
         if (task < 0) return null
-        if (!admission.admits(job, task)) {
-            job.putBack(task)
-            return null
-        }
         val placement = cluster.place(job, task, machine)
+        admission.took(placement)
         seats.taken(machine)
         log.debug("{} try {} goes to {}", placement.task, placement.attempt, machine.id)
         return placement
     }
 
+    /** The next waiting task that the write to come takes, or -1. */
+    private fun nextAdmitted(job: Job, admission: Admission): Int {
+        repeat(minOf(job.waiting, MOST_ASIDE)) {
+            val task = job.takeWaiting()
+            if (task < 0) return -1
+            if (admission.admits(job, task)) return task
+            if (!admission.isFull(job, task)) {
+                job.putBack(task)
+                return -1
+            }
+            job.setAside(task)
+        }
+        return -1
+    }
+
     /**
      * A gang goes as one unit, once room and cap fit all of it. A task that was lost before the
      * others began is replaced while they still wait long enough; otherwise the whole gang begins
@@ -420,6 +432,9 @@
          * Of the time that a gang's tasks wait for each other: in the rest an image has to come.
          */
         const val REPLACED_PART = 0.4
+
+        /** Tasks that are passed over in one look, as their pages are full. */
+        const val MOST_ASIDE = 600
         val SCARCE_AFTER = 4.secs
         val UNANSWERED = 1.secs
     }
--- a/src/test/kotlin/wardmux/sim/World.kt
+++ b/src/test/kotlin/wardmux/sim/World.kt
@@ -14,6 +14,7 @@
 import wardmux.app.Controller
 import wardmux.app.Facts
 import wardmux.app.LimitFacts
+import wardmux.app.NextStateFacts
 import wardmux.app.OperatorSettings
 import wardmux.app.PlatformSettings
 import wardmux.app.ServiceSettings
@@ -37,6 +38,8 @@
     rented: Boolean = true,
     gangWaitS: Double = 35.0,
     gangPeerS: Double = 6.0,
+    /** The limits that controllers which start from now on are told of beforehand. */
+    var told: NextStateFacts? = null,
 ) {
     val clock = Clockwork(seed)
     val network = Network(clock)
@@ -49,7 +52,7 @@
             zones = zones,
             clockErrorMs = 100.0,
             teams = teams,
-            workers = WorkerFacts(reportS = 2.5, leaseS = 16.0, cancelS = 36.0),
+            workers = WorkerFacts(2.5, 16.0, 36.0, gangWaitS, gangPeerS),
             state = StateFacts(rps = 90.0, writeRps = 40.0, valueKb = 8.0, txnOps = txnOps),
             cloud = CloudFacts(rps = 8.0, listLagS = 3.0),
             limits = LimitFacts(fdLimit = 1000),
@@ -203,7 +206,7 @@
             peerAddress = "10.0.0.1:81",
             siblings = (nodes - member).map { SiblingSettings(it, address = "10.0.0.1:81") },
             services = ServiceSettings("10.0.0.1:82", "10.0.0.1:83"),
-            facts = facts,
+            facts = facts.copy(state = facts.state.copy(next = told)),
         )
 
     private fun call(
