Gangs: room, cap and machines are gathered for the one that waits longest

Idle machines that a waiting gang may use are kept, and a team whose gang waits for the cap starts nothing more until it is below. Ruled out: the zone, the size of a transaction.

--- a/src/main/kotlin/wardmux/cloud/Hiring.kt
+++ b/src/main/kotlin/wardmux/cloud/Hiring.kt
@@ -332,10 +332,13 @@
 
     private fun giveBack(own: List<Machine>, surplus: Double, spot: Boolean) {
         var left = (surplus + 1 - SURPLUS).toInt()
+        // One that a gang waits for more of: it would be hired again at once, and go again.
+        val gangs = planner.shortOfRoom().filter { it.spec.isGang && !it.atFault }
         for (machine in own.filter { it.up && it.empty && !it.condemned && it.spot == spot }) {
             // To boot it again would cost about as much; a dear one is kept for as much shorter.
             val keep = (operators.idleKeepBoots * machine.type.bootS / machine.dearness).secs
             if (desk.now - machine.idleSince <= keep) continue
+            if (gangs.any { planner.allowed(it.spec, machine) }) continue
             if (left-- <= 0) return
             condemn(machine, "idle")
         }
--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -77,6 +77,8 @@
 
     /** What one plan looks at: the machines with room, and what the write to come takes. */
     private class Round(usable: List<Machine>, val admission: Admission) {
+        /** Teams that start nothing more for now, so that a gang of theirs comes below the cap. */
+        val capped = HashSet<String>()
         val usable = usable.size
         val open = usable.filter { it.freeCpus > MachineType.EPSILON }
     }
@@ -157,7 +159,7 @@
     private fun place(sorted: Map<String, List<Job>>, pass: Pass) {
         if (pass.round.open.isEmpty()) return
         val byTeam = sorted.mapValues { ArrayDeque(it.value) }
-        val teams = byTeam.keys.toMutableSet()
+        val teams = byTeam.keys.filterTo(HashSet()) { it !in pass.round.capped }
         while (teams.isNotEmpty()) {
             val team = teams.minWith(compareBy({ cluster.queue.startTag(it) }, { it }))
             val own = byTeam.getValue(team)
@@ -166,7 +168,10 @@
                 teams.remove(team)
                 continue
             }
-            if (!placeOne(job, pass)) own.removeFirst()
+            if (placeOne(job, pass)) continue
+            own.removeFirst()
+            if (awaitsCap(job)) pass.round.capped.add(team)
+            if (team in pass.round.capped) teams.remove(team)
         }
     }
 
@@ -295,6 +300,13 @@
         return null
     }
 
+    /** A gang that waits too long for what its team's other tasks take of the cap one by one. */
+    private fun awaitsCap(job: Job): Boolean {
+        if (!job.spec.isGang || job.waiting == 0 || job.atFault) return false
+        val since = job.blockedSince ?: return false
+        return desk.now - since > SCARCE_AFTER && cluster.headroom(job.spec) < job.waiting
+    }
+
     /** Machines where a gang that waits too long gathers room: nothing else goes there. */
     private var reserved: Set<MachineId> = emptySet()
     private var reservedFor: JobId? = null
