Simulated users who hear of their job by a cancellation first ask about it too

The check for forgotten jobs counted a job whose submission was never answered but whose cancellation was: nobody asked about it, so no answer could come. Its user now asks from then on, and the check stays as it was.

--- a/src/test/kotlin/wardmux/sim/World.kt
+++ b/src/test/kotlin/wardmux/sim/World.kt
@@ -332,6 +332,7 @@
                 // Some repeat a request that was carried out.
                 if (clock.chance(0.2))
                     clock.after(clock.between(1.secs, 40.secs)) { submitAgain(spec, clock.now) }
+                asked.add(spec.id)
                 poll(spec.id)
             } else if (clock.now < until) {
                 clock.after(clock.between(1.secs, 2.secs)) { submitAgain(spec, until) }
@@ -339,6 +340,9 @@
         }
     }
 
+    /** Jobs that their users have begun to ask about. */
+    private val asked = HashSet<String>()
+
     fun poll(job: String) {
         val askedAt = clock.now
         ask("GET", "/submissions/$job", ByteArray(0)) { status, text ->
@@ -355,6 +359,8 @@
         ask("POST", "/submissions/$job/abort", ByteArray(0), by) { status, text ->
             if (status != null) rules.told(clock.now, job, "abort", status, stateIn(text), askedAt)
             if (status != 200) clock.after(1.secs) { cancel(job, by) }
+            // Its submission was never answered, so this is the first that its user hears of it.
+            else if (asked.add(job)) poll(job)
         }
     }
 
