--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -311,6 +311,9 @@
     private var reserved: Set<MachineId> = emptySet()
     private var reservedFor: JobId? = null
 
+    /** True if the gang gathers room on this machine, with others that together hold all of it. */
+    fun isReservedFor(job: Job, machine: Machine) = job.id == reservedFor && machine.id in reserved
+
     /**
      * Of room that comes free bit by bit small tasks would take each bit. The gang that has waited
      * longest gets enough machines for it alone, in one zone if it has to be, those that have the
--- a/src/main/kotlin/wardmux/dispatch/Preemption.kt
+++ b/src/main/kotlin/wardmux/dispatch/Preemption.kt
@@ -114,6 +114,8 @@
             val machine = cluster.machines[victim.machine] ?: continue
             if (!planner.allowed(job.spec, machine) || !machine.type.holds(job.spec)) continue
             if (planner.isHeldFrom(job.spec, machine.type)) continue
+            // Room that comes free elsewhere is of no use to it, and what is stopped comes back.
+            if (job.spec.isGang && !planner.isReservedFor(job, machine)) continue
             if (fetchesAlone(victim)) continue
             // Nearly done: its room comes by itself.
             if (remaining(victim) < SOON) continue
