--- a/src/main/kotlin/wardmux/cloud/Hiring.kt
+++ b/src/main/kotlin/wardmux/cloud/Hiring.kt
@@ -13,6 +13,7 @@
 import wardmux.dispatch.Planner
 import wardmux.fleet.Fleet
 import wardmux.fleet.Machine
+import wardmux.intake.JobSpec
 import wardmux.logger
 import wardmux.secs
 
@@ -155,7 +156,7 @@
      */
     private fun hireFor(job: Job, known: List<MachineType>) {
         if (job.atFault) return
-        if (job.spec.isGang && job.spec.oneZone) return hireInOneZone(job, known)
+        if (job.spec.isGang) return hireForGang(job, known)
         val there =
             cluster.machines.values.any {
                 !it.condemned &&
@@ -178,33 +179,40 @@
         }
     }
 
-    /** As much as the gang lacks in the zone where it lacks least; what is spread is of no use. */
-    private fun hireInOneZone(job: Job, known: List<MachineType>) {
+    /**
+     * As much as the gang lacks of machines that it may use, in one zone if it asks for that: then
+     * in the one where it lacks least, since what is spread is of no use.
+     */
+    private fun hireForGang(job: Job, known: List<MachineType>) {
         val spec = job.spec
         val type = known.filter { it.allowedFor(spec) }.minByOrNull { it.cpus } ?: return
+        val fitting = type.fitting(spec).coerceAtLeast(1)
+        val rooms = type.zones.associateWith { roomFor(spec, it) + comingTo(spec, it) * fitting }
+        val total = rooms.values.sum()
         val choices =
             listOf(true, false).flatMap { spot ->
                 openZones(type, spot)
                     .filter { planner.suits(job, type, it, spot) }
-                    .map { zone ->
-                        val coming =
-                            hiring.values.filter { it.zone == zone }.sumOf { it.count } +
-                                cluster.machines.values.count {
-                                    it.zone == zone && !it.up && !it.condemned
-                                }
-                        val room =
-                            cluster.machines.values
-                                .filter { it.zone == zone && planner.usable(it) }
-                                .filter { planner.allowed(spec, it) }
-                                .sumOf { it.roomFor(spec) }
-                        Kind(type.label, zone, spot) to room + coming * type.fitting(spec)
-                    }
+                    .map { Kind(type.label, it, spot) to (rooms[it] ?: 0) }
             }
-        val (kind, room) = choices.maxByOrNull { it.second } ?: return
-        val missing = ceil((spec.tasks - room).toDouble() / type.fitting(spec).coerceAtLeast(1))
-        if (missing > 0 && cloud.ready()) order(kind, minOf(missing.toInt(), MOST_AT_ONCE))
+        val (kind, there) = choices.maxByOrNull { it.second } ?: return
+        val room = if (spec.oneZone) there else total
+        val missing = ceil((spec.tasks - room).toDouble() / fitting).toInt()
+        if (missing > 0 && cloud.ready()) order(kind, minOf(missing, MOST_AT_ONCE))
     }
 
+    private fun roomFor(spec: JobSpec, zone: String) =
+        cluster.machines.values
+            .filter { it.zone == zone && planner.usable(it) && planner.allowed(spec, it) }
+            .sumOf { it.roomFor(spec) }
+
+    /** Machines ordered or booting there that a task like this may use. */
+    private fun comingTo(spec: JobSpec, zone: String) =
+        hiring.values.filter { it.zone == zone && (spec.spot || !it.spot) }.sumOf { it.count } +
+            cluster.machines.values.count {
+                it.zone == zone && !it.up && !it.condemned && planner.allowed(spec, it)
+            }
+
     /** Zones where this kind was not refused lately, those with the fewest such machines first. */
     private fun openZones(type: MachineType, spot: Boolean): List<String> =
         type.zones
