A cancellation that a sibling told while stored jobs were being read is not lost

Cause, from reading the change: the watch's word went through what is known of cancellations, which tells of each only once. If a sibling had told it while the leader was reading, the job was not there yet, and when the watch said it again nothing was done: its tasks would have gone on. The watch now ends the job in any case, as it did before.

--- a/src/main/kotlin/wardmux/lead/Term.kt
+++ b/src/main/kotlin/wardmux/lead/Term.kt
@@ -417,7 +417,10 @@
         } else if (removed != null) {
             // Of a job that is done it was this leader that removed it.
             val job = cluster.jobs[JobId(removed.removePrefix(JobRecord.OPEN_PREFIX))] ?: return
-            if (!job.finished) cancellations.learn(job.id)
+            if (job.finished) return
+            cancellations.learn(job.id)
+            // A sibling may have told it while what is stored was being read, before the job was here.
+            cancelled(job.id)
         }
     }
 
