--- a/src/main/kotlin/wardmux/lead/Term.kt
+++ b/src/main/kotlin/wardmux/lead/Term.kt
@@ -419,7 +419,8 @@
             val job = cluster.jobs[JobId(removed.removePrefix(JobRecord.OPEN_PREFIX))] ?: return
             if (job.finished) return
             cancellations.learn(job.id)
-            // A sibling may have told it while what is stored was being read, before the job was here.
+            // A sibling may have told it while what is stored was being read, before the job was
+            // here.
             cancelled(job.id)
         }
     }
