Machine types rented by price, services first on ordinary ones, dear machines emptied

Cause: demand was counted for the smallest type that holds a task, so vaultwide, a third of all CPUs and the cheapest, was never rented; spot machines counted as room for services, which may not use them; services waited 2.5 s before arrays were stopped for them; after the arrays, replicas kept 103 machines at a third of their CPUs.

Changed: types that no open work needs for their size form a pool with the next smaller one, and the cheapest is rented first; ordinary machines are rented for what needs them; lower work is stopped at once for a service, and only in zones that help; replicas go where replicas are, evenly over the zones where spread; ordinary machines beyond what is wanted are emptied, replicas moved one of a service at a time. Provisioner was divided on the way.

--- /dev/null
+++ b/src/main/kotlin/wardmux/cloud/MachinePools.kt
@@ -0,0 +1,157 @@
+package wardmux.cloud
+
+import wardmux.CoreContext
+import wardmux.Micros
+import wardmux.dispatch.Job
+import wardmux.intake.JobSpec
+import wardmux.millis
+import wardmux.secs
+
+/**
+ * Machine types that stand in for each other, because no open work needs the larger ones for their
+ * size. What a pool holds and lacks is counted in machines of its [base], the smallest of them.
+ */
+class MachinePool(
+    /** The smallest type; in a pool of one, that type. */
+    val base: MachineType,
+    /** All types of the pool. */
+    val types: List<MachineType>,
+    private val demand: ResourceDemand,
+) {
+    private val weights =
+        types.associate { it.label to demand.machinesOf(base) / demand.machinesOf(it) }
+
+    /** The pool's machines are of this type among others. */
+    fun holds(type: MachineType): Boolean = type.label in weights
+
+    /** How many machines of the base type do the work of one of this type. */
+    fun weightOf(type: MachineType): Double = weights.getValue(type.label)
+
+    /** What a machine costs an hour for each machine of the base type that it stands for. */
+    fun priceOf(type: MachineType, spot: Boolean): Double = price(type, spot) / weightOf(type)
+
+    /**
+     * The types by what they cost for the work that they do and, on that account, for their boot.
+     */
+    fun cheapestFirst(spot: Boolean): List<MachineType> =
+        types.sortedBy { priceOf(it, spot) * (1 + it.bootS / USUAL_USE_S) }
+
+    /** The price of a kind, where the cheapest of the pool costs 1. */
+    fun dearness(type: MachineType, spot: Boolean): Double =
+        priceOf(type, spot) / maxOf(types.minOf { priceOf(it, true) }, LEAST_PRICE)
+
+    /** The time that the soonest of its machines takes to boot, in seconds. */
+    val shortestBootS: Double = types.minOf { it.bootS }
+
+    private fun price(type: MachineType, spot: Boolean) = if (spot) type.spotPrice else type.price
+
+    private companion object {
+        const val LEAST_PRICE = 1e-6
+
+        /** For how long a machine is rented as a rule; its boot is paid once in that time. */
+        const val USUAL_USE_S = 300.0
+    }
+}
+
+/** What the open jobs of a pool ask for together. */
+class ResourceDemand {
+    private var cpus = 0.0
+    private var gpus = 0.0
+    private var memoryGb = 0.0
+
+    /** Counts [tasks] tasks more. */
+    fun add(spec: JobSpec, tasks: Int) {
+        cpus += spec.cpus * tasks
+        gpus += spec.gpus * tasks
+        memoryGb += spec.memoryGb * tasks
+    }
+
+    /** How many machines of this type would hold it, by the resource that runs out first. */
+    fun machinesOf(type: MachineType): Double {
+        if (cpus <= 0) return 1 / type.cpus
+        val byGpu = if (gpus > 0) gpus / type.gpus else 0.0
+        return maxOf(cpus / type.cpus, memoryGb / type.memoryGb, byGpu)
+    }
+}
+
+/**
+ * Tells which machine types a task counts as an exact fit for. As a rule that is the smallest one
+ * that holds it, so that large machines stay free for large tasks. A type that nothing open needs
+ * for its size has nothing to stay free for: it joins the pool of the next smaller type that is
+ * needed, and what fits that fits it exactly too.
+ */
+class MachinePools(private val context: CoreContext, private val types: () -> List<MachineType>) {
+    /** When open work was last seen for which a type is the smallest, by its label. */
+    private val neededAt = HashMap<String, Micros>()
+    private var knownTypes: List<MachineType> = emptyList()
+    private var observeAt = Micros.LONG_AGO
+
+    /** All pools; each known type is in one of them. */
+    var pools: List<MachinePool> = emptyList()
+        private set
+
+    private var poolByLabel: Map<String, MachinePool> = emptyMap()
+
+    /** Looks again at what is needed, if that was not done lately or the types have changed. */
+    fun observe(jobs: Collection<Job>) {
+        if (types() != knownTypes || context.now >= observeAt) observeNow(jobs)
+    }
+
+    /** Looks again at what is needed: [jobs] may be quite others than before. */
+    fun observeNow(jobs: Collection<Job>) {
+        observeAt = context.now + PERIOD
+        knownTypes = types()
+        val open = jobs.filter { !it.over && !it.complete }
+        val demands = HashMap<String, ResourceDemand>()
+        for (job in open) {
+            val smallest = smallestFor(job.spec) ?: continue
+            neededAt[smallest.label] = context.now
+            demands.getOrPut(smallest.label) { ResourceDemand() }.add(job.spec, job.spec.tasks)
+        }
+        divide(demands)
+    }
+
+    /** The smallest machine type that a task like this fits, or null. */
+    fun smallestFor(spec: JobSpec): MachineType? =
+        types().filter { it.allowedFor(spec) }.minByOrNull { it.cpus }
+
+    /** The pool that a task like this is counted in, or null if it fits no machine. */
+    fun poolFor(spec: JobSpec): MachinePool? = smallestFor(spec)?.let { poolByLabel[it.label] }
+
+    /** The types that a task like this fits exactly. */
+    fun exactFor(spec: JobSpec): Set<String> {
+        val smallest = smallestFor(spec) ?: return emptySet()
+        val pool = poolByLabel[smallest.label] ?: return setOf(smallest.label)
+        return pool.types.filter { it.allowedFor(spec) }.mapTo(HashSet()) { it.label }
+    }
+
+    /** What a machine costs for its work, where the cheapest kind of its pool costs 1. */
+    fun dearness(type: MachineType, spot: Boolean): Double =
+        poolByLabel[type.label]?.dearness(type, spot) ?: 1.0
+
+    private fun divide(demands: Map<String, ResourceDemand>) {
+        val bySize = knownTypes.sortedBy { it.cpus }
+        val groups = ArrayList<ArrayList<MachineType>>()
+        for (type in bySize) {
+            if (groups.isEmpty() || isNeeded(type)) groups.add(arrayListOf(type))
+            else groups.last().add(type)
+        }
+        pools =
+            groups.map {
+                MachinePool(it.first(), it, demands[it.first().label] ?: ResourceDemand())
+            }
+        poolByLabel = pools.flatMap { pool -> pool.types.map { it.label to pool } }.toMap()
+    }
+
+    private fun isNeeded(type: MachineType): Boolean {
+        val at = neededAt[type.label] ?: return false
+        return context.now - at <= REMEMBERED
+    }
+
+    private companion object {
+        val PERIOD = 250.millis
+
+        /** Work of a kind that was there comes again: its machines are not filled up meanwhile. */
+        val REMEMBERED = 600.secs
+    }
+}
--- a/src/main/kotlin/wardmux/dispatch/Eligibility.kt
+++ b/src/main/kotlin/wardmux/dispatch/Eligibility.kt
@@ -3,9 +3,11 @@
 import wardmux.CoreContext
 import wardmux.app.OperatorSettings
 import wardmux.app.WorkerFacts
+import wardmux.cloud.MachinePools
 import wardmux.cloud.MachineType
 import wardmux.fleet.Machine
 import wardmux.intake.JobSpec
+import wardmux.intake.Shape
 import wardmux.secs
 
 /** Which machines a task may go to, and which of them suits it best. */
@@ -13,7 +15,7 @@
     private val context: CoreContext,
     private val operators: OperatorSettings,
     private val workers: WorkerFacts,
-    private val types: () -> List<MachineType>,
+    private val pools: MachinePools,
 ) {
     /** True if new tasks may go to the machine. */
     fun usable(machine: Machine): Boolean {
@@ -21,7 +23,9 @@
         val quiet = (workers.reportS * operators.quietReports).secs
         return machine.confirmed &&
             !machine.decommissioned &&
+            !machine.draining &&
             !machine.directBroken &&
+            !machine.unconnected &&
             machine.recalledAt == null &&
             !(machine.directBusy && context.now - machine.directSince > UNANSWERED) &&
             context.now - heardAt < quiet &&
@@ -30,9 +34,8 @@
             context.now >= machine.pausedUntil
     }
 
-    /** The smallest machine type that a task like this fits. */
-    fun exactFor(spec: JobSpec): String? =
-        types().filter { it.allowedFor(spec) }.minByOrNull { it.cpus }?.label
+    /** The machine types that a task like this fits exactly. */
+    fun exactFor(spec: JobSpec): Set<String> = pools.exactFor(spec)
 
     /** True if the job allows this machine's kind, type and zone. */
     fun allowed(spec: JobSpec, machine: Machine): Boolean =
@@ -65,16 +68,21 @@
     }
 
     /**
-     * Seconds until the task could start, what the machine costs beyond the cheapest of its type,
-     * and how much room would be left over: so that dear machines come free first.
+     * Seconds until the task could start, what the machine costs beyond the cheapest kind of its
+     * pool, and how much room would be left over: so that dear machines come free first. What has
+     * no end goes where most like it is, since only that keeps other machines from coming free.
      */
     fun score(spec: JobSpec, machine: Machine): Double {
         val fetch = machine.imageWait(spec.image, spec.imageGb, context.now)
         return fetch.seconds * FETCH_WEIGHT +
-            (machine.dearness - 1) * DEAR_WEIGHT +
-            (machine.freeCpus - spec.cpus) / machine.type.cpus
+            (pools.dearness(machine.type, machine.spot) - 1) * DEAR_WEIGHT +
+            leftOver(spec, machine) / machine.type.cpus
     }
 
+    private fun leftOver(spec: JobSpec, machine: Machine): Double =
+        if (spec.shape == Shape.DAEMON) machine.type.cpus - machine.serviceCpus - spec.cpus
+        else machine.freeCpus - spec.cpus
+
     private companion object {
         const val FETCH_WEIGHT = 0.5
         const val DEAR_WEIGHT = 0.5
--- a/src/main/kotlin/wardmux/dispatch/Planner.kt
+++ b/src/main/kotlin/wardmux/dispatch/Planner.kt
@@ -6,6 +6,7 @@
 import wardmux.app.ObjectiveFacts
 import wardmux.app.OperatorSettings
 import wardmux.app.WorkerFacts
+import wardmux.cloud.MachinePools
 import wardmux.cloud.MachineType
 import wardmux.fleet.Machine
 import wardmux.fleet.Placement
@@ -30,6 +31,7 @@
     private val operators: OperatorSettings,
     workers: WorkerFacts,
     objectives: List<ObjectiveFacts>,
+    private val pools: MachinePools,
     types: () -> List<MachineType>,
 ) {
     private val log = logger<Planner>()
@@ -42,7 +44,7 @@
     private var mostBytes = Int.MAX_VALUE
 
     /** Which machines tasks may go to. */
-    val eligibility = Eligibility(context, operators, workers, types)
+    val eligibility = Eligibility(context, operators, workers, pools)
     private val gangPlacement = GangPlacement(context, eligibility, types)
 
     /** Room and cap that are kept for gangs. */
@@ -59,8 +61,8 @@
             return
         }
         gangReservations.update(ready)
-        held =
-            ready.filter { isOverdue(it) }.mapNotNullTo(HashSet()) { eligibility.exactFor(it.spec) }
+        pools.observe(cluster.jobs.values)
+        held = ready.filter { isOverdue(it) }.flatMapTo(HashSet()) { eligibility.exactFor(it.spec) }
         val round = Round(cluster.machines.values.filter { eligibility.usable(it) }, admission)
         val scarce = cluster.jobs.values.any { isShortOfRoom(it) }
         val queues =
@@ -114,7 +116,7 @@
             looks += round.open.size
             return round.open.filter { machine ->
                 val label = machine.type.label
-                (label == own || (!exact && label !in held)) &&
+                (label in own || (!exact && label !in held)) &&
                     !gangReservations.isReservedFromJob(job, machine) &&
                     eligibility.allowed(spec, machine) &&
                     machine.fits(spec) &&
@@ -145,10 +147,17 @@
 
         /** Where its page holds all only on few machines, these are filled one by one. */
         private fun scoreOf(machine: Machine): Double {
-            if (!few) return eligibility.score(job.spec, machine)
+            if (!few) return eligibility.score(job.spec, machine) + zoneShare(machine)
             return if (machine.id in used) -MOST_ROOM else -machine.roomFor(job.spec).toDouble()
         }
 
+        /** What is spread loses least with a zone if all zones have as much of it. */
+        private fun zoneShare(machine: Machine): Double {
+            if (!job.spec.spread) return 0.0
+            val there = eligibility.zonesOf(job)[machine.zone] ?: 0
+            return SPREAD_WEIGHT * there / job.spec.tasks
+        }
+
         fun best(): Machine? {
             val zones = eligibility.zonesOf(job)
             while (true) {
@@ -203,7 +212,7 @@
 
     /** True if machines of this type are held, and for other work than this. */
     fun isHeldFrom(spec: JobSpec, type: MachineType) =
-        type.label in held && eligibility.exactFor(spec) != type.label
+        type.label in held && type.label !in eligibility.exactFor(spec)
 
     private fun isShortOfRoom(job: Job) =
         job.isBlockedLong(context.now) &&
@@ -292,6 +301,11 @@
         /** More tasks than any machine has room for. */
         const val MOST_ROOM = 1e6
 
+        /**
+         * A quarter of the tasks in one zone more outweighs what an ordinary machine costs more.
+         */
+        const val SPREAD_WEIGHT = 5.0
+
         /** Tasks that are passed over in one look, as their pages are full. */
         const val MOST_ASIDE = 600
     }
--- a/src/main/kotlin/wardmux/dispatch/Preemption.kt
+++ b/src/main/kotlin/wardmux/dispatch/Preemption.kt
@@ -1,8 +1,10 @@
 package wardmux.dispatch
 
 import wardmux.CoreContext
+import wardmux.MachineId
 import wardmux.Micros
 import wardmux.app.OperatorSettings
+import wardmux.fleet.Machine
 import wardmux.fleet.Placement
 import wardmux.fleet.TaskStatus
 import wardmux.intake.Shape
@@ -33,7 +35,7 @@
                 since != null &&
                     job.waiting > 0 &&
                     !job.atFault &&
-                    context.now - since >= operators.preemptAfterS.secs
+                    context.now - since >= patience(job)
             }
         if (blocked.isEmpty()) return
         val highest = blocked.minOf { it.spec.urgency }
@@ -76,6 +78,10 @@
         }
     }
 
+    /** A replica that waits is a replica that is down: others only wait to see whether it helps. */
+    private fun patience(job: Job): Micros =
+        if (job.spec.shape == Shape.DAEMON) Micros.ZERO else operators.preemptAfterS.secs
+
     /**
      * What may be stopped for whom, the cheapest first. For most jobs that is only what is less
      * urgent: of a thousand placements like their own, not one is looked at for each job that
@@ -108,29 +114,61 @@
     ): Double {
         var freed = 0.0
         var calledBack = false
-        for (victim in victims.of(job)) {
+        val zones = HashMap(planner.eligibility.zonesOf(job))
+        for (victim in orderedFor(job, victims.of(job))) {
             if (freed >= wanted) break
             looks++
-            if (victim.halting || !among(victim) || !mayStop(job, victim)) continue
-            val machine = cluster.machines[victim.machine] ?: continue
-            if (!planner.eligibility.allowed(job.spec, machine) || !machine.type.holds(job.spec))
-                continue
-            if (planner.isHeldFrom(job.spec, machine.type)) continue
-            // Room that comes free elsewhere is of no use to it, and what is stopped comes back.
-            if (job.spec.isGang && !planner.gangReservations.isReservedFor(job, machine)) continue
-            if (fetchesAlone(victim)) continue
-            // Nearly done: its room comes by itself.
-            if (remaining(victim) < SOON) continue
-            // Much larger than what is needed: it would destroy more than it pays for.
-            if (victim.job.spec.cpus > (wanted - freed) * MOST_WASTE) continue
+            if (!among(victim) || !helps(job, victim, zones, wanted - freed)) continue
             stopper.stop(victim, "room for ${job.id}")
             if (victim.job.spec.urgency == job.spec.urgency) calledBack = true
             freed += victim.job.spec.cpus
+            if (job.zoned) zones.merge(victim.zone, tasksInRoomOf(victim, job), Int::plus)
         }
         if (calledBack) job.calledBackAt = context.now
         return freed
     }
 
+    /** True if stopping [victim] is allowed and gives the job room, at no more cost than that. */
+    private fun helps(
+        job: Job,
+        victim: Placement,
+        zones: Map<String, Int>,
+        wanted: Double,
+    ): Boolean {
+        if (victim.halting || !mayStop(job, victim)) return false
+        val machine = cluster.machines[victim.machine] ?: return false
+        return isRoomFor(job, machine, zones) &&
+            !fetchesAlone(victim) &&
+            // Nearly done: its room comes by itself.
+            remaining(victim) >= SOON &&
+            // Much larger than what is needed: it would destroy more than it pays for.
+            victim.job.spec.cpus <= wanted * MOST_WASTE
+    }
+
+    /** True if room that comes free on the machine is of use to the job. */
+    private fun isRoomFor(job: Job, machine: Machine, zones: Map<String, Int>): Boolean {
+        val spec = job.spec
+        val fits = planner.eligibility.allowed(spec, machine) && machine.type.holds(spec)
+        if (!fits || planner.isHeldFrom(spec, machine.type)) return false
+        // Where its zone has its share of the job already, it is of no use.
+        if (!planner.eligibility.mayGoTo(machine.zone, spec, zones)) return false
+        // Room that comes free elsewhere is of no use to a gang, and what is stopped comes back.
+        return !spec.isGang || planner.gangReservations.isReservedFor(job, machine)
+    }
+
+    /** How many tasks of [job] go where [victim] is. */
+    private fun tasksInRoomOf(victim: Placement, job: Job): Int =
+        if (job.spec.cpus <= 0) 1 else maxOf(1, (victim.job.spec.cpus / job.spec.cpus).toInt())
+
+    /** What has no end goes where most like it is: other machines come free for good. */
+    private fun orderedFor(job: Job, victims: List<Placement>): List<Placement> {
+        if (job.spec.shape != Shape.DAEMON) return victims
+        val held = HashMap<MachineId, Double>()
+        fun servicesAt(machine: MachineId) =
+            held.getOrPut(machine) { cluster.machines[machine]?.serviceCpus ?: 0.0 }
+        return victims.sortedByDescending { servicesAt(it.machine) }
+    }
+
     private fun mayStop(job: Job, victim: Placement): Boolean {
         val other = victim.job.spec
         // One task of a gang takes the others with it.
--- a/src/main/kotlin/wardmux/fleet/Machine.kt
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -4,6 +4,7 @@
 import wardmux.Micros
 import wardmux.cloud.MachineType
 import wardmux.intake.JobSpec
+import wardmux.intake.Shape
 import wardmux.secs
 
 /** A machine as the leader knows it. */
@@ -55,6 +56,13 @@
     val directBroken: Boolean
         get() = brokenSince != null
 
+    /** When a direct command last found no connection to it. */
+    var unconnectedAt = Micros.LONG_AGO
+
+    /** A direct command found no connection, and it has not been heard since. */
+    val unconnected: Boolean
+        get() = unconnectedAt > (heardAt ?: Micros.LONG_AGO)
+
     /** Its report is overdue, and asked for its state it did not answer; when it is asked next. */
     var probeFailed = false
     var probeAt = Micros.LONG_AGO
@@ -86,6 +94,9 @@
     /** When the cloud takes it, as its notice says. */
     var takenAt = Micros.NEVER
     var decommissioned = false
+
+    /** It gets no new tasks, so that it can be returned once it is empty. */
+    var draining = false
     var decommissionReason = ""
     var deleting = false
 
@@ -116,9 +127,6 @@
     private var usedGpus = 0.0
     private var usedMemory = 0.0
 
-    /** Its price, where a spot machine of its type costs 1. */
-    val dearness: Double = if (spot) 1.0 else type.price / maxOf(type.spotPrice, 1e-6)
-
     val up: Boolean
         get() = heardAt != null
 
@@ -138,6 +146,10 @@
                 if (type.gpus > 0) usedGpus / type.gpus else 0.0,
             )
 
+    /** CPUs that replicas of services hold. */
+    var serviceCpus = 0.0
+        private set
+
     val freeCpus: Double
         get() = type.cpus - usedCpus - orphanCpus
 
@@ -178,7 +190,9 @@
         usedCpus += sign * spec.cpus
         usedGpus += sign * spec.gpus
         usedMemory += sign * spec.memoryGb
+        if (spec.shape == Shape.DAEMON) serviceCpus += sign * spec.cpus
         if (placements.isEmpty()) {
+            serviceCpus = 0.0
             usedCpus = 0.0
             usedGpus = 0.0
             usedMemory = 0.0
--- a/src/main/kotlin/wardmux/lead/LeaderSession.kt
+++ b/src/main/kotlin/wardmux/lead/LeaderSession.kt
@@ -7,9 +7,13 @@
 import wardmux.Stamp
 import wardmux.app.OperatorSettings
 import wardmux.app.PlatformSettings
+import wardmux.cloud.CapacityDemand
 import wardmux.cloud.CloudClient
+import wardmux.cloud.MachineDrainer
+import wardmux.cloud.MachinePools
 import wardmux.cloud.MachineTypeCatalog
 import wardmux.cloud.Provisioner
+import wardmux.cloud.RentalOrders
 import wardmux.dispatch.Cluster
 import wardmux.dispatch.FairQueue
 import wardmux.dispatch.Job
@@ -83,8 +87,9 @@
             operators.normS,
         )
     private val cluster = Cluster(context, facts.teams, queue)
+    private val pools = MachinePools(context) { types.types.orEmpty() }
     private val planner =
-        Planner(context, cluster, operators, facts.workers, facts.objectives) {
+        Planner(context, cluster, operators, facts.workers, facts.objectives, pools) {
             types.types.orEmpty()
         }
     private val stopper = TaskStopper(cluster, facts.workers)
@@ -141,16 +146,15 @@
         Provisioner(
             context,
             cloud,
-            types,
+            pools,
             cluster,
             fleet,
             planner,
             operators,
             facts.cloud,
-            role.token,
-            facts.zones,
-            facts.objectives,
-            { store.maxValueBytes },
+            CapacityDemand(context, cluster, facts.objectives) { store.maxValueBytes },
+            rentalOrders(cloud),
+            MachineDrainer(context, cluster, planner.eligibility, stopper),
             ::decommission,
             placementStore::dropDecommissionRecord,
         )
@@ -180,6 +184,18 @@
     private var planAnywayAt = Micros.LONG_AGO
     private var nextPlanAt = Micros.LONG_AGO
 
+    private fun rentalOrders(cloud: CloudClient) =
+        RentalOrders(
+            context,
+            cloud,
+            cluster,
+            fleet,
+            operators,
+            role.token,
+            facts.cloud,
+            facts.zones,
+        )
+
     fun end() {
         over = true
         storedState.abandon()
@@ -232,6 +248,7 @@
 
     fun tick() {
         cluster.reference = types.types?.maxByOrNull { it.cpus }
+        pools.observe(cluster.jobs.values)
         relays.tick(loaded)
         storeRelay.tick()
         loadAt?.let { if (context.now >= it && types.types != null) load() }
@@ -312,6 +329,7 @@
         for (item in state.decommissionedMachines) {
             markDecommissioned(MachineId(item.key.removePrefix(PlacementStore.MACHINES)))
         }
+        pools.observeNow(cluster.jobs.values)
         watchFrom = state.openJobs.epoch
         watchAt = context.now
         loaded = true
--- /dev/null
+++ b/src/test/kotlin/wardmux/cloud/MachineDrainerTest.kt
@@ -0,0 +1,115 @@
+package wardmux.cloud
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import wardmux.app.TeamFacts
+import wardmux.dispatch.Admission
+import wardmux.dispatch.Job
+import wardmux.dispatch.PlannerHarness
+import wardmux.fleet.Machine
+import wardmux.fleet.TaskStatus
+import wardmux.intake.Shape
+import wardmux.intake.Urgency
+import wardmux.secs
+import wardmux.sim.plainJob
+
+/** Machines that are more than wanted are emptied, at the cost of no replica that has no place. */
+class MachineDrainerTest {
+    private val type =
+        MachineType("mid", 16.0, memoryGb = 64.0, cacheGb = 50.0, zones = listOf("a", "b"))
+    private val teams = listOf(TeamFacts("team-0", 700.0, 700.0))
+    private val harness = PlannerHarness(teams, listOf(type), now = 100.secs)
+    private val drainer =
+        MachineDrainer(
+            harness.context,
+            harness.cluster,
+            harness.planner.eligibility,
+            harness.stopper,
+        )
+    private val service =
+        plainJob(2, "job-000001")
+            .copy(shape = Shape.DAEMON, urgency = Urgency.PROD, spot = false, estimateS = 0.0)
+
+    private fun ordinary(number: Int) = harness.machine(number, type, spot = false)
+
+    private fun run(job: Job, task: Int, machine: Machine) {
+        val placement = harness.placement(job, task, machine)
+        placement.committed = true
+        placement.status = TaskStatus.RUNNING
+        placement.runningSince = harness.context.now
+        job.place(placement, harness.context.wall)
+        harness.cluster.restore(placement, machine)
+    }
+
+    private fun haveImage(vararg machines: Machine) {
+        for (machine in machines) machine.imageReady(service.image, service.imageGb, 50.secs)
+    }
+
+    private fun adjust(surplus: Double) {
+        harness.pools.observeNow(harness.cluster.jobs.values)
+        val pool = harness.pools.pools.single()
+        drainer.adjust(pool, harness.cluster.machines.values.toList(), surplus)
+        drainer.moveReplicas()
+    }
+
+    private fun halting() =
+        harness.cluster.machines.values.flatMap { it.placements.values }.filter { it.halting }
+
+    @Test
+    fun `the machine with least on it is emptied, and one replica of a service moves at a time`() {
+        val job = harness.job(service)
+        val sparse = ordinary(1)
+        val other = ordinary(2)
+        repeat(2) { run(job, it, sparse) }
+        run(harness.job(plainJob(1, "job-000002")), 0, other)
+        run(harness.job(plainJob(1, "job-000003").copy(cpus = 6.0)), 0, other)
+        haveImage(sparse, other)
+        adjust(1.5)
+        assertTrue(sparse.draining)
+        assertFalse(other.draining)
+        assertEquals(listOf(sparse.id), halting().map { it.machine })
+        adjust(-1.0)
+        assertFalse(sparse.draining, "it takes tasks again where room is short")
+    }
+
+    @Test
+    fun `a replica stays where no other machine has room and its image`() {
+        val job = harness.job(service)
+        val sparse = ordinary(1)
+        repeat(2) { run(job, it, sparse) }
+        val other = ordinary(2)
+        run(harness.job(plainJob(1, "job-000002").copy(cpus = 14.0)), 0, other)
+        haveImage(sparse)
+        adjust(1.5)
+        assertTrue(sparse.draining)
+        assertEquals(0, halting().size, "its image is nowhere else")
+        haveImage(other)
+        adjust(0.5)
+        assertEquals(1, halting().size)
+    }
+
+    @Test
+    fun `nothing is emptied for less than a machine, and no spot machine`() {
+        val machine = ordinary(1)
+        val spot = harness.machine(2, type)
+        run(harness.job(plainJob(1, "job-000002")), 0, machine)
+        run(harness.job(plainJob(1, "job-000003")), 0, spot)
+        adjust(0.9)
+        assertFalse(machine.draining)
+        adjust(5.0)
+        assertTrue(machine.draining)
+        assertFalse(spot.draining)
+    }
+
+    @Test
+    fun `a machine that is being emptied gets no new task`() {
+        val machine = ordinary(1)
+        run(harness.job(plainJob(1, "job-000002")), 0, machine)
+        adjust(1.0)
+        val waits = harness.job(plainJob(1, "job-000003"))
+        harness.planner.plan(Admission(7))
+        assertEquals(0, waits.placements.size)
+    }
+}
--- a/src/test/kotlin/wardmux/cloud/ProvisionerTest.kt
+++ b/src/test/kotlin/wardmux/cloud/ProvisionerTest.kt
@@ -5,6 +5,8 @@
 import kotlin.test.assertTrue
 import wardmux.app.NextStateFacts
 import wardmux.app.TeamFacts
+import wardmux.intake.JobSpec
+import wardmux.intake.Shape
 import wardmux.secs
 import wardmux.sim.ControllerHarness
 import wardmux.sim.plainJob
@@ -41,7 +43,60 @@
         assertTrue(asked in 35..50, "$asked asked for")
     }
 
+    /** Kinds of machines that are asked for first, as "type spot". */
+    private fun kindsAskedFor(vararg jobs: JobSpec): Set<String> {
+        val facts = ControllerHarness.SETTINGS.facts
+        val teams = listOf(TeamFacts("team-0", 700.0, 12_000.0))
+        // The list is not waited for, so that it is decided before anything waited for long.
+        val cloud = facts.cloud.copy(listLagS = 0.1)
+        val settings =
+            ControllerHarness.SETTINGS.copy(facts = facts.copy(teams = teams, cloud = cloud))
+        val harness = ControllerHarness(given = settings)
+        harness.write(MachineType.KEY, MachineType.toJson(listOf(SMALL, LARGE)))
+        for (job in jobs) harness.accept(job)
+        harness.run(4.secs)
+        return harness.cloud
+            .filter { it.startsWith("/machines {") }
+            .map { Regex(""""boxkind":"(\w+)".*"loaners":(\w+)""").find(it)!!.destructured }
+            .mapTo(HashSet()) { (type, spot) -> if (spot == "true") "$type spot" else type }
+    }
+
+    private val smallTasks = plainJob(200).copy(cpus = 2.0, memoryGb = 2.0)
+
+    @Test
+    fun `the type that costs least for the work is rented, not the smallest that holds a task`() =
+        assertEquals(setOf("large spot"), kindsAskedFor(smallTasks))
+
+    @Test
+    fun `a large type that other work needs is left to it`() {
+        val largeTask = plainJob(4, "job-000002").copy(cpus = 32.0, memoryGb = 64.0)
+        val asked = kindsAskedFor(smallTasks, largeTask)
+        assertEquals(setOf("small spot", "large spot"), asked)
+    }
+
+    @Test
+    fun `a service gets ordinary machines, however many spot machines there are`() {
+        val service =
+            plainJob(64, "job-000003")
+                .copy(shape = Shape.DAEMON, spot = false, spread = true, estimateS = 0.0)
+        val asked = kindsAskedFor(smallTasks, service)
+        assertEquals(setOf("large spot", "large"), asked)
+    }
+
     private companion object {
         const val ZONES = 2
+        val SMALL =
+            MachineType(
+                "small",
+                16.0,
+                memoryGb = 128.0,
+                cacheGb = 50.0,
+                price = 0.9,
+                spotPrice = 0.2,
+                bootS = 40.0,
+                zones = listOf("a", "b"),
+            )
+        val LARGE =
+            SMALL.copy(label = "large", cpus = 64.0, price = 2.4, spotPrice = 0.5, bootS = 15.0)
     }
 }
--- a/src/test/kotlin/wardmux/dispatch/PlannerHarness.kt
+++ b/src/test/kotlin/wardmux/dispatch/PlannerHarness.kt
@@ -8,6 +8,7 @@
 import wardmux.app.OperatorSettings
 import wardmux.app.TeamFacts
 import wardmux.app.WorkerFacts
+import wardmux.cloud.MachinePools
 import wardmux.cloud.MachineType
 import wardmux.fleet.Machine
 import wardmux.fleet.Placement
@@ -23,11 +24,13 @@
         Cluster(context, teams, FairQueue(teams.associate { it.name to it.cpus }, 600.secs, 600.0))
     private val workers = WorkerFacts(reportS = 6.0, leaseS = 36.0, cancelS = 66.0)
     val stopper = TaskStopper(cluster, workers)
-    val planner = Planner(context, cluster, OperatorSettings(), workers, emptyList()) { types }
+    val pools = MachinePools(context) { types }
+    val planner =
+        Planner(context, cluster, OperatorSettings(), workers, emptyList(), pools) { types }
 
     /** One that is up and may be used. */
-    fun machine(number: Int, type: MachineType, zone: String = "a"): Machine {
-        val machine = Machine(MachineId("i-%06d".format(number)), type, zone, spot = true)
+    fun machine(number: Int, type: MachineType, zone: String = "a", spot: Boolean = true): Machine {
+        val machine = Machine(MachineId("i-%06d".format(number)), type, zone, spot)
         machine.confirmed = true
         machine.heardAt = context.now
         machine.renewedAt = context.now
--- /dev/null
+++ b/src/test/kotlin/wardmux/dispatch/ServicePreemptionTest.kt
@@ -0,0 +1,89 @@
+package wardmux.dispatch
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import wardmux.app.OperatorSettings
+import wardmux.app.TeamFacts
+import wardmux.cloud.MachineType
+import wardmux.fleet.Machine
+import wardmux.fleet.TaskStatus
+import wardmux.intake.JobSpec
+import wardmux.intake.Shape
+import wardmux.intake.Urgency
+import wardmux.secs
+import wardmux.sim.plainJob
+
+/** A replica that waits is down: what may be stopped for it is stopped at once, where it helps. */
+class ServicePreemptionTest {
+    private val type = MachineType("mid", 16.0, memoryGb = 64.0, zones = listOf("a", "b"))
+    private val teams = listOf(TeamFacts("team-0", 700.0, 700.0))
+    private val harness = PlannerHarness(teams, listOf(type), now = 100.secs)
+    private val preemption =
+        Preemption(
+            harness.context,
+            harness.cluster,
+            harness.planner,
+            harness.stopper,
+            OperatorSettings(),
+        )
+    private val idle = harness.job(plainJob(64, "job-000900").copy(urgency = Urgency.IDLE))
+
+    private fun run(job: Job, task: Int, machine: Machine) {
+        val placement = harness.placement(job, task, machine)
+        placement.committed = true
+        placement.status = TaskStatus.RUNNING
+        job.place(placement, harness.context.wall)
+        harness.cluster.restore(placement, machine)
+    }
+
+    private fun waiting(spec: JobSpec) =
+        harness.job(spec).also { it.blockedSince = harness.context.now }
+
+    private fun stoppedIn(zone: String) =
+        harness.cluster.machines.values
+            .filter { it.zone == zone }
+            .sumOf { machine -> machine.placements.values.count { it.halting } }
+
+    private fun service(tasks: Int) =
+        plainJob(tasks, "job-000001")
+            .copy(
+                shape = Shape.DAEMON,
+                urgency = Urgency.PROD,
+                spread = true,
+                spot = false,
+                estimateS = 0.0,
+            )
+
+    private fun fullMachine(number: Int, zone: String): Machine {
+        val machine = harness.machine(number, type, zone, spot = false)
+        repeat(8) { run(idle, number * 8 + it, machine) }
+        return machine
+    }
+
+    @Test
+    fun `lower work makes room for a service at once, and for others after a wait`() {
+        fullMachine(1, "a")
+        fullMachine(2, "b")
+        val array = waiting(service(4).copy(id = "job-000002", shape = Shape.BATCH))
+        preemption.preempt()
+        assertEquals(0, stoppedIn("a") + stoppedIn("b"))
+        harness.cluster.jobs.remove(array.id)
+        waiting(service(4))
+        preemption.preempt()
+        assertEquals(4, stoppedIn("a") + stoppedIn("b"))
+    }
+
+    @Test
+    fun `nothing is stopped in a zone that has its share of the service already`() {
+        val service = waiting(service(4))
+        val crowded = harness.machine(1, type, "a", spot = false)
+        repeat(2) { run(service, it, crowded) }
+        repeat(6) { run(idle, it, crowded) }
+        fullMachine(2, "b")
+        preemption.preempt()
+        assertEquals(0, stoppedIn("a"))
+        assertEquals(2, stoppedIn("b"))
+        assertTrue(service.placements.values.none { it.halting })
+    }
+}
