Records of machines given up get half of each write; unreachable ones are tried with a pause

From reading the code: a direct command that finds no connection was made again at once, and the few that may be under way at a time were taken by a lost zone.

--- a/src/main/kotlin/wardmux/dispatch/PlacementStore.kt
+++ b/src/main/kotlin/wardmux/dispatch/PlacementStore.kt
@@ -177,8 +177,11 @@
         // One change is kept for the tags.
         // Where a transaction holds few, ends never take all that a start needs.
         val ends = minOf(finishing().take(2).count() * 2, store.maxChanges - 2)
-        val others = minOf(decommissioning.size, 1) + ends
-        return Admission(store.maxChanges - 1 - others, store.maxValueBytes)
+        // A lost machine keeps its tasks from running elsewhere until its record is written: where
+        // many are lost at once, as with a zone, these must not wait behind all that can be placed.
+        val mostLost = maxOf(1, store.maxChanges / DECOMMISSIONS_PART)
+        val others = minOf(decommissioning.size, mostLost) + ends
+        return Admission(maxOf(1, store.maxChanges - 1 - others), store.maxValueBytes)
     }
 
     private fun finishing() =
@@ -370,6 +373,9 @@
     companion object {
         const val MACHINES = "m/"
 
+        /** Part of a write, the inverse, that is kept for machines given up. */
+        private const val DECOMMISSIONS_PART = 2
+
         /** Well below the 64 KiB that a transaction may hold. */
         private const val MAX_BYTES = 40_000
         private val REFUSED_PAUSE = 300.millis
--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -400,8 +400,12 @@
         val looked = cluster.due.iterator()
         while (looked.hasNext() && mayAsk) {
             val machine = looked.next()
-            // One at a time: looked at again when that one is over.
-            if (machine.directBusy) continue
+            // One at a time: looked at again when that one is over. Nor is one tried without a
+            // pause
+            // to which there is no connection: where a whole zone is cut off, such attempts would
+            // hold up the commands to all others.
+            val pausing = context.now - machine.unconnectedAt < UNCONNECTED_PAUSE
+            if (machine.directBusy || pausing) continue
             val reachable =
                 machine.confirmed && !machine.decommissioned && machine.endpoint.isNotEmpty()
             if (!reachable || machine.directBroken) {
@@ -461,6 +465,7 @@
                     if (outcome.status == 200 || outcome.status == 409) takeDirect(machine, outcome)
                 }
                 is Outcome.Unsent -> {
+                    machine.unconnectedAt = context.now
                     for (placement in starts) placement.startSent = false
                     settled(machine, shift, starts)
                 }
@@ -526,6 +531,7 @@
 
     companion object {
         private val DIRECT_TIME = 4.secs
+        private val UNCONNECTED_PAUSE = 2.secs
         private const val ENOUGH_UNREACHED = 6
         private val UNREACHED_FOR = 3.secs
         private const val MAX_DIRECT = 300
