No fixed bound below 4,000 machines: sockets, calls, report cache and display counts

Sockets are divided in one place, SocketBudget, by fd_limit; direct commands at once, clients of workers and calls that wait for a grant follow from it, the cache of last reports from ram_mb. No relay is sent more workers than have sockets there. LargeFleetTest: 4,002 machines report to three controllers, with relays and without, through a change of leaders; the simulated world bounds workers' connections now.

--- a/src/main/kotlin/wardmux/app/Controller.kt
+++ b/src/main/kotlin/wardmux/app/Controller.kt
@@ -55,7 +55,7 @@
             term?.cancelled(it)
         }
     private val peers = Peers(context, platform.member, siblings, cancellations)
-    private val reader = ReportReader()
+    private val reader = ReportReader(platform.facts.limits.reportCacheBytes)
     private val intake =
         Intake(context, store, types, platform.facts.teams, cancellations::confirmed, ::progressOf)
     private var term: LeaderSession? = null
@@ -83,6 +83,7 @@
             platform.facts.workers,
             StoreRelayClient(context, store, platform.member),
             platform.siblings.size,
+            SocketBudget(platform.facts.limits.fdLimit).workers,
             peers::wantsRelays,
             ::sendToLeader,
         )
--- a/src/main/kotlin/wardmux/app/Daemon.kt
+++ b/src/main/kotlin/wardmux/app/Daemon.kt
@@ -19,17 +19,16 @@
     private val log = logger<Daemon>()
     private val group = NioEventLoopGroup(1)
     private val core = Controller(platform, operators, boot())
-    private val limit = platform.facts.limits.fdLimit
-    private val connections = limit - RESERVED_SOCKETS.coerceAtMost(limit / 2)
+    private val sockets = SocketBudget(platform.facts.limits.fdLimit)
     private val server =
-        HttpServer(group, connections, (connections * WORKERS_PART).toInt(), IDLE_SECONDS) {
+        HttpServer(group, sockets.clients, sockets.workers, IDLE_SECONDS) {
             feed(Input.Call(it.id, it.port, it.method, it.path, it.body))
         }
     private val clients = HashMap<Target, HttpClient>()
     private val workers =
         object : LinkedHashMap<String, HttpClient>(16, 0.75f, true) {
             override fun removeEldestEntry(eldest: Map.Entry<String, HttpClient>) =
-                size > MAX_WORKER_CLIENTS
+                size > sockets.workers
         }
 
     init {
@@ -114,7 +113,6 @@
     }
 
     private companion object {
-        const val MAX_WORKER_CLIENTS = 512
         const val WORKER_CONNECTIONS = 1
 
         /** Stands for an address that a worker reported and that is none: never connects. */
@@ -122,9 +120,6 @@
         val TICK = 100.millis
         const val IDLE_SECONDS = 90L
 
-        /** For the services, siblings and direct orders, which must get through at any load. */
-        const val RESERVED_SOCKETS = 192
-        const val WORKERS_PART = 0.85
         const val STATE_CONNECTIONS = 24
         const val CLOUD_CONNECTIONS = 4
         const val SIBLING_CONNECTIONS = 2
--- a/src/main/kotlin/wardmux/app/Settings.kt
+++ b/src/main/kotlin/wardmux/app/Settings.kt
@@ -125,7 +125,17 @@
     @SerialName("cpu") val cpu: Double = 1.0,
     @SerialName("ram_mb") val ramMb: Double = 0.0,
     @SerialName("fd_limit") val fdLimit: Int,
-)
+) {
+    /** What the last reports of machines may take, so that like ones need no parsing. */
+    val reportCacheBytes: Long
+        get() = maxOf((ramMb * BYTES_PER_MB * REPORT_CACHE_PART).toLong(), LEAST_REPORT_CACHE)
+
+    private companion object {
+        const val BYTES_PER_MB = 1024 * 1024
+        const val REPORT_CACHE_PART = 0.06
+        const val LEAST_REPORT_CACHE = 8L * BYTES_PER_MB
+    }
+}
 
 /** A setting is wrong, missing or unreadable; the message is one line that names it. */
 class BadSettings(message: String) : Exception(message)
--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -41,6 +41,8 @@
     private val isCancelled: (JobId) -> Boolean,
     /** How long a lease may be renewed with something on the machine that was cancelled. */
     private val cancelledFor: Micros,
+    /** Direct commands and probes that may be under way at once. */
+    private val mostDirect: Int,
 ) {
     private val log = logger<Fleet>()
 
@@ -390,7 +392,7 @@
 
     /** One more connection to a machine can be opened. */
     val mayAsk: Boolean
-        get() = directOpen < MOST_DIRECT_OPEN
+        get() = directOpen < mostDirect
 
     /**
      * Sends what is new to the machines themselves, rather than with the answer to their next
@@ -540,8 +542,6 @@
         private val FAILED_PAUSE = 8.secs
         private const val SICK_FAILURES = 3
         private const val MAX_ORDERS = 400
-        /** Each takes a connection of its own. */
-        private const val MOST_DIRECT_OPEN = 96
         private const val KEPT_LEASES = 10.0
         private val SEND_ON_AFTER = 2.secs
         private const val SEND_ON_PART = 0.5
--- a/src/main/kotlin/wardmux/fleet/ReportReader.kt
+++ b/src/main/kotlin/wardmux/fleet/ReportReader.kt
@@ -7,7 +7,10 @@
  * Reads workers' reports. Most say what the machine's last one said, but for the tick: these are
  * told by comparing bytes, and cost no parsing. Their [Report.tasks] is the very list of the last.
  */
-class ReportReader {
+class ReportReader(
+    /** What the reports that are kept may take together. */
+    private val mostBytes: Long = Long.MAX_VALUE
+) {
     private class Last(
         val body: ByteArray,
         /** Where the digits of the tick begin and end. */
@@ -18,6 +21,8 @@
 
     private val lasts = Object2ObjectLinkedOpenHashMap<String, Last>()
 
+    private var keptBytes = 0L
+
     /** How many reports had to be parsed: what reading costs. */
     var parsed = 0L
         private set
@@ -40,8 +45,9 @@
     }
 
     private fun keep(name: String, last: Last) {
-        lasts.putAndMoveToLast(name, last)
-        if (lasts.size > MOST_KEPT) lasts.removeFirst()
+        val before = lasts.putAndMoveToLast(name, last)
+        keptBytes += last.body.size - (before?.body?.size ?: 0)
+        while (keptBytes > mostBytes) keptBytes -= lasts.removeFirst().body.size
     }
 
     private fun parse(body: ByteArray): Report? {
@@ -102,7 +108,6 @@
         const val COLON = ':'.code.toByte()
         const val ZERO = '0'.code.toByte()
         const val NINE = '9'.code.toByte()
-        const val MOST_KEPT = 4_096
         const val MOST_KEPT_BYTES = 8 * 1024
     }
 }
--- a/src/main/kotlin/wardmux/lead/LeaderSession.kt
+++ b/src/main/kotlin/wardmux/lead/LeaderSession.kt
@@ -7,6 +7,7 @@
 import wardmux.Stamp
 import wardmux.app.OperatorSettings
 import wardmux.app.PlatformSettings
+import wardmux.app.SocketBudget
 import wardmux.cloud.CapacityDemand
 import wardmux.cloud.CloudClient
 import wardmux.cloud.MachineDrainer
@@ -114,6 +115,7 @@
             ::mayRenew,
             cancellations::contains,
             uninformedFor,
+            SocketBudget(facts.limits.fdLimit).directCommands,
         )
     private val relays =
         Relays(
@@ -503,7 +505,10 @@
         val CUT_OFF_CHECK_PERIOD = 400.millis
         val PLAN_PERIOD_MOST = 500.millis
         val PLAN_PERIOD_LEAST = 50.millis
-        const val MAX_PROGRESS_JOBS = 500
+        /**
+         * A heartbeat takes far more, at some 50 bytes for each job; the counts are for display.
+         */
+        const val MAX_PROGRESS_JOBS = 5_000
         const val LATE_READING_SHARE = 0.5
 
         /** A halt's way to its machine. */
--- a/src/main/kotlin/wardmux/relay/Relay.kt
+++ b/src/main/kotlin/wardmux/relay/Relay.kt
@@ -31,6 +31,8 @@
     private val workers: WorkerFacts,
     storeRelayClient: StoreRelayClient,
     siblings: Int,
+    /** As many as workers may be connected. */
+    private val mostWaitingCalls: Int,
     /** The leader of this token has said lately that it wants relays. */
     private val wantedBy: (Token) -> Boolean,
     /** For a worker that this relay can't answer: redirects it. */
@@ -96,7 +98,7 @@
     /** A grant is a matter of milliseconds; sent elsewhere, all would come back later. */
     private fun waitForGrant(call: Long, report: Report, body: ByteArray): Boolean {
         val failedLately = context.now - failedAt <= FAILED_RECENTLY
-        if (token == null || failedLately || waitingCalls.size >= MAX_WAITING_CALLS) return false
+        if (token == null || failedLately || waitingCalls.size >= mostWaitingCalls) return false
         waitingCalls.addLast(WaitingCall(call, report, body, context.now))
         return true
     }
@@ -255,7 +257,6 @@
         val RETRY = 300.millis
         val FAILED_RECENTLY = 2.secs
         val LONGEST_GRANT_WAIT = 1.secs
-        const val MAX_WAITING_CALLS = 1_000
         const val KEPT_REPORTS = 3.0
         val REMOVAL_PERIOD = 5.secs
     }
--- a/src/main/kotlin/wardmux/relay/Relays.kt
+++ b/src/main/kotlin/wardmux/relay/Relays.kt
@@ -6,6 +6,7 @@
 import wardmux.Token
 import wardmux.app.LimitFacts
 import wardmux.app.OperatorSettings
+import wardmux.app.SocketBudget
 import wardmux.app.WorkerFacts
 import wardmux.dispatch.Cluster
 import wardmux.fleet.Fleet
@@ -66,6 +67,7 @@
         private set
 
     private val alone = !hasSiblings
+    private val sockets = SocketBudget(limits.fdLimit)
 
     /** It was decided whether they go on. */
     private var settled = false
@@ -224,7 +226,8 @@
         val counts = machinesByMember()
         val own = 1.0 / (live.size + 1)
         val total = live.sumOf { counts[it.member] ?: 0 } + (counts[member] ?: 0)
-        val each = total / (live.size + own)
+        // Nobody is given more than have sockets: they would come back, and go again.
+        val each = minOf(total / (live.size + own), sockets.workers * FULL_PART)
         val least = live.minBy { counts[it.member] ?: 0 }
         val room = (each - (counts[least.member] ?: 0)).toInt()
         var step = minOf(room, maxOf(1, total / STEP_PART))
@@ -274,6 +277,9 @@
         private const val TOLERANCE = 1.2
         private const val FEW = 3
 
+        /** Of a controller's sockets for workers; the others take those that come and go. */
+        private const val FULL_PART = 0.95
+
         /** How long a relay may answer without hearing from its leader. */
         fun grant(workers: WorkerFacts) =
             minOf(workers.leaseS.secs * GRANT_PART, LONGEST_GRANT).coerceAtLeast(SHORTEST_GRANT)
--- a/src/test/kotlin/wardmux/sim/ClusterSimulation.kt
+++ b/src/test/kotlin/wardmux/sim/ClusterSimulation.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import wardmux.Effect
+import wardmux.HttpStatus
 import wardmux.Input
 import wardmux.Micros
 import wardmux.Outcome
@@ -19,6 +20,7 @@
 import wardmux.app.PlatformSettings
 import wardmux.app.ServiceSettings
 import wardmux.app.SiblingSettings
+import wardmux.app.SocketBudget
 import wardmux.app.StateFacts
 import wardmux.app.TeamFacts
 import wardmux.app.WorkerFacts
@@ -42,6 +44,10 @@
     var told: NextStateFacts? = null,
     /** Machines that the cloud has, in each zone, of spot and of ordinary ones. */
     capacity: Int = 3,
+    /** Sockets that each controller may have open. */
+    fdLimit: Int = 1_000,
+    /** The most CPUs that a team may use. */
+    teamCpus: Double = 40.0,
 ) {
     /** Of these limits a controller is told that starts from now on, by its name. */
     var toldTo: (member: String) -> NextStateFacts? = { told }
@@ -49,7 +55,7 @@
     val network = Network(clock)
     private val zones = listOf("a", "b", "c")
     val nodes = listOf("n0", "n1", "n2")
-    private val teams = List(3) { TeamFacts("team-$it", 16.0, 40.0) }
+    private val teams = List(3) { TeamFacts("team-$it", 16.0, teamCpus) }
     private val facts =
         Facts(
             nodes = nodes.size,
@@ -59,7 +65,7 @@
             workers = WorkerFacts(2.5, 16.0, 36.0, gangWaitS, gangPeerS),
             state = StateFacts(rps = 90.0, writeRps = 40.0, valueKb = 8.0, txnOps = txnOps),
             cloud = CloudFacts(rps = 8.0, listLagS = 3.0),
-            limits = LimitFacts(fdLimit = 1000),
+            limits = LimitFacts(fdLimit = fdLimit),
         )
     val state = FakeStateService(clock, facts.state)
     val rules = Rules(teams, facts.workers.cancelS.secs + Rules.SLACK)
@@ -77,6 +83,7 @@
      * is a direct one, and the task with its attempt.
      */
     var startIsSent: ((by: String, machine: String?, task: String, attempt: Int) -> Unit)? = null
+    private val connections = WorkerConnections(SocketBudget(fdLimit).workers)
     private var boots = 0L
     private var calls = 0L
     var accepted = 0
@@ -259,9 +266,12 @@
         if (id in network.mute) return
         network.reportAgain(again)
         network.send(id, node) {
-            call(node, Port.API, "POST", "/hello", body.encodeToByteArray()) { status, text ->
+            val back = { status: Int, text: ByteArray ->
                 network.send(node, id) { answer(status, text.decodeToString()) }
             }
+            if (connections.admits(id, node))
+                call(node, Port.API, "POST", "/hello", body.encodeToByteArray(), back)
+            else back(HttpStatus.SERVICE_UNAVAILABLE, ByteArray(0))
         }
     }
 
@@ -310,11 +320,15 @@
     fun crash(member: String, back: Micros) {
         val process = running[member] ?: return
         process.alive = false
+        connections.closeAll(member)
         clock.after(back) { if (running[member] === process) boot(member) }
     }
 
     fun leader(): String? = state.value("leader")?.jsonObject?.get("member")?.jsonPrimitive?.content
 
+    /** The token of the leader: the revision of the write that took the key. */
+    fun leaderToken(): Long? = state.stamp("leader")
+
     // Users.
 
     private fun ask(
--- a/src/test/kotlin/wardmux/sim/FakeWorker.kt
+++ b/src/test/kotlin/wardmux/sim/FakeWorker.kt
@@ -81,6 +81,14 @@
         private set
 
     private var shift = 1L
+
+    /** Sessions that it has had. */
+    val sessions: Long
+        get() = shift
+
+    /** It has taken this token. */
+    fun hasToken(leaders: Long?): Boolean = token == leaders
+
     private var tick = 0L
     private var token = 0L
     private var answeredSentAt = clock.now
--- /dev/null
+++ b/src/test/kotlin/wardmux/sim/LargeFleetTest.kt
@@ -0,0 +1,74 @@
+package wardmux.sim
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import wardmux.app.OperatorSettings
+import wardmux.intake.Shape
+import wardmux.millis
+import wardmux.secs
+
+/** Four thousand machines report to three controllers, through a change of leaders. */
+class LargeFleetTest {
+    private fun play(fdLimit: Int, operators: OperatorSettings) {
+        val simulation =
+            ClusterSimulation(
+                seed = 7,
+                operators = operators,
+                rented = false,
+                capacity = MACHINES / KINDS,
+                fdLimit = fdLimit,
+                teamCpus = 64.0 * MACHINES,
+            )
+        repeat(MACHINES) {
+            simulation.cloud.rent(ZONES[it % ZONES.size], spot = it % KINDS < ZONES.size)
+        }
+        // Something runs on every machine, so that none is given back.
+        simulation.clock.after(2.secs) { simulation.submit(longJob(simulation)) }
+        simulation.run(50.secs)
+        val before = simulation.cloud.workers().map { it.id }
+        assertEquals(MACHINES, before.size)
+        simulation.crash(simulation.leader()!!, back = 700.millis)
+        simulation.run(110.secs)
+        assertEquals(emptyList(), simulation.problems())
+        assertEquals(before, simulation.cloud.workers().map { it.id }, "some were given up")
+        val sessions = simulation.cloud.workers().count { it.sessions > 1 }
+        assertEquals(0, sessions, "leases ended")
+        val known = simulation.cloud.workers().count { it.hasToken(simulation.leaderToken()) }
+        assertEquals(MACHINES, known, "machines that have found the leader")
+        assertTrue(simulation.rules.starts >= MACHINES, "${simulation.rules.starts} starts")
+    }
+
+    private fun longJob(simulation: ClusterSimulation) =
+        simulation
+            .randomJob()
+            .copy(
+                shape = Shape.BATCH,
+                tasks = MACHINES,
+                cpus = FakeWorker.CPUS,
+                zone = null,
+                oneZone = false,
+                spread = false,
+                spot = true,
+                estimateS = 400.0,
+                deadlineS = 800.0,
+            )
+
+    @Test
+    fun `all are known and none is given up where all controllers take reports`() =
+        play(fdLimit = 1_800, OperatorSettings(idleKeepBoots = KEPT))
+
+    @Test
+    fun `all are known and none is given up where the leader takes all reports`() =
+        play(fdLimit = 10_000, OperatorSettings(reportsPerCore = 1e6, idleKeepBoots = KEPT))
+
+    private companion object {
+        const val MACHINES = 4_002
+        /** None is returned as idle meanwhile. */
+        const val KEPT = 1_000.0
+        val ZONES = listOf("a", "b", "c")
+
+        /** Spot and ordinary machines in each zone; all are rented. */
+        const val KINDS = 6
+    }
+}
