Tests of stops and of emptying machines share one set-up; a placement has its machine's zone

PlannerHarness sets up a running task and Preemption for the three tests that each did so themselves, and gives a placement the zone of its machine, which was "a" for all.

--- a/src/test/kotlin/wardmux/cloud/MachineDrainerTest.kt
+++ b/src/test/kotlin/wardmux/cloud/MachineDrainerTest.kt
@@ -6,10 +6,8 @@
 import kotlin.test.assertTrue
 import wardmux.app.TeamFacts
 import wardmux.dispatch.Admission
-import wardmux.dispatch.Job
 import wardmux.dispatch.PlannerHarness
 import wardmux.fleet.Machine
-import wardmux.fleet.TaskStatus
 import wardmux.intake.Shape
 import wardmux.intake.Urgency
 import wardmux.secs
@@ -34,15 +32,6 @@
 
     private fun ordinary(number: Int) = harness.machine(number, type, spot = false)
 
-    private fun run(job: Job, task: Int, machine: Machine) {
-        val placement = harness.placement(job, task, machine)
-        placement.committed = true
-        placement.status = TaskStatus.RUNNING
-        placement.runningSince = harness.context.now
-        job.place(placement, harness.context.wall)
-        harness.cluster.restore(placement, machine)
-    }
-
     private fun haveImage(vararg machines: Machine) {
         for (machine in machines) machine.imageReady(service.image, service.imageGb, 50.secs)
     }
@@ -62,9 +51,9 @@
         val job = harness.job(service)
         val sparse = ordinary(1)
         val other = ordinary(2)
-        repeat(2) { run(job, it, sparse) }
-        run(harness.job(plainJob(1, "job-000002")), 0, other)
-        run(harness.job(plainJob(1, "job-000003").copy(cpus = 6.0)), 0, other)
+        repeat(2) { harness.run(job, it, sparse) }
+        harness.run(harness.job(plainJob(1, "job-000002")), 0, other)
+        harness.run(harness.job(plainJob(1, "job-000003").copy(cpus = 6.0)), 0, other)
         haveImage(sparse, other)
         adjust(1.5)
         assertTrue(sparse.draining)
@@ -78,9 +67,9 @@
     fun `a replica stays where no other machine has room and its image`() {
         val job = harness.job(service)
         val sparse = ordinary(1)
-        repeat(2) { run(job, it, sparse) }
+        repeat(2) { harness.run(job, it, sparse) }
         val other = ordinary(2)
-        run(harness.job(plainJob(1, "job-000002").copy(cpus = 14.0)), 0, other)
+        harness.run(harness.job(plainJob(1, "job-000002").copy(cpus = 14.0)), 0, other)
         haveImage(sparse)
         adjust(1.5)
         assertTrue(sparse.draining)
@@ -94,8 +83,8 @@
     fun `nothing is emptied for less than a machine, and no spot machine`() {
         val machine = ordinary(1)
         val spot = harness.machine(2, type)
-        run(harness.job(plainJob(1, "job-000002")), 0, machine)
-        run(harness.job(plainJob(1, "job-000003")), 0, spot)
+        harness.run(harness.job(plainJob(1, "job-000002")), 0, machine)
+        harness.run(harness.job(plainJob(1, "job-000003")), 0, spot)
         adjust(0.9)
         assertFalse(machine.draining)
         adjust(5.0)
@@ -106,7 +95,7 @@
     @Test
     fun `a machine that is being emptied gets no new task`() {
         val machine = ordinary(1)
-        run(harness.job(plainJob(1, "job-000002")), 0, machine)
+        harness.run(harness.job(plainJob(1, "job-000002")), 0, machine)
         adjust(1.0)
         val waits = harness.job(plainJob(1, "job-000003"))
         harness.planner.plan(Admission(7))
--- a/src/test/kotlin/wardmux/dispatch/PlannerHarness.kt
+++ b/src/test/kotlin/wardmux/dispatch/PlannerHarness.kt
@@ -12,6 +12,7 @@
 import wardmux.cloud.MachineType
 import wardmux.fleet.Machine
 import wardmux.fleet.Placement
+import wardmux.fleet.TaskStatus
 import wardmux.intake.JobSpec
 import wardmux.intake.Shape
 import wardmux.secs
@@ -46,7 +47,19 @@
         Job(spec, Stamp(1), acceptedAt, 128)
 
     fun placement(job: Job, task: Int, machine: Machine) =
-        Placement(job, TaskId(job.id, task), 1, machine.id, 1, "a", Charge(Cost(1), 1.0))
+        Placement(job, TaskId(job.id, task), 1, machine.id, 1, machine.zone, Charge(Cost(1), 1.0))
+
+    /** The task runs on the machine, and is recorded there. */
+    fun run(job: Job, task: Int, machine: Machine) {
+        val placement = placement(job, task, machine)
+        placement.committed = true
+        placement.status = TaskStatus.RUNNING
+        job.place(placement, context.wall)
+        cluster.restore(placement, machine)
+    }
+
+    /** What stops work for other work, with the usual settings. */
+    fun preemption() = Preemption(context, cluster, planner, stopper, OperatorSettings())
 
     /** Room on the machine is taken by work that no plan looks at. */
     fun occupy(machine: Machine, cpus: Double) {
--- a/src/test/kotlin/wardmux/dispatch/PreemptionScaleTest.kt
+++ b/src/test/kotlin/wardmux/dispatch/PreemptionScaleTest.kt
@@ -4,10 +4,8 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import wardmux.Micros
-import wardmux.app.OperatorSettings
 import wardmux.app.TeamFacts
 import wardmux.cloud.MachineType
-import wardmux.fleet.TaskStatus
 import wardmux.intake.Urgency
 import wardmux.secs
 import wardmux.sim.plainJob
@@ -20,14 +18,7 @@
     private val type = MachineType("mid", 16.0, memoryGb = 64.0, zones = listOf("a"))
     private val teams = List(4) { TeamFacts("team-$it", 7_000.0, 20_000.0) }
     private val harness = PlannerHarness(teams, listOf(type), now = 100.secs)
-    private val preemption =
-        Preemption(
-            harness.context,
-            harness.cluster,
-            harness.planner,
-            harness.stopper,
-            OperatorSettings(),
-        )
+    private val preemption = harness.preemption()
 
     private fun job(id: Int, urgency: Urgency, tasks: Int) =
         harness.job(plainJob(tasks, "job-%06d".format(id)).copy(urgency = urgency))
@@ -36,13 +27,7 @@
         var task = 0
         for (m in machines) {
             val machine = harness.machine(m, type)
-            repeat(8) {
-                val placement = harness.placement(job, task++, machine)
-                placement.committed = true
-                placement.status = TaskStatus.RUNNING
-                job.place(placement, harness.context.wall)
-                harness.cluster.restore(placement, machine)
-            }
+            repeat(8) { harness.run(job, task++, machine) }
         }
     }
 
--- a/src/test/kotlin/wardmux/dispatch/ServicePreemptionTest.kt
+++ b/src/test/kotlin/wardmux/dispatch/ServicePreemptionTest.kt
@@ -3,11 +3,9 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
-import wardmux.app.OperatorSettings
 import wardmux.app.TeamFacts
 import wardmux.cloud.MachineType
 import wardmux.fleet.Machine
-import wardmux.fleet.TaskStatus
 import wardmux.intake.JobSpec
 import wardmux.intake.Shape
 import wardmux.intake.Urgency
@@ -19,24 +17,9 @@
     private val type = MachineType("mid", 16.0, memoryGb = 64.0, zones = listOf("a", "b"))
     private val teams = listOf(TeamFacts("team-0", 700.0, 700.0))
     private val harness = PlannerHarness(teams, listOf(type), now = 100.secs)
-    private val preemption =
-        Preemption(
-            harness.context,
-            harness.cluster,
-            harness.planner,
-            harness.stopper,
-            OperatorSettings(),
-        )
+    private val preemption = harness.preemption()
     private val idle = harness.job(plainJob(64, "job-000900").copy(urgency = Urgency.IDLE))
 
-    private fun run(job: Job, task: Int, machine: Machine) {
-        val placement = harness.placement(job, task, machine)
-        placement.committed = true
-        placement.status = TaskStatus.RUNNING
-        job.place(placement, harness.context.wall)
-        harness.cluster.restore(placement, machine)
-    }
-
     private fun waiting(spec: JobSpec) =
         harness.job(spec).also { it.blockedSince = harness.context.now }
 
@@ -57,7 +40,7 @@
 
     private fun fullMachine(number: Int, zone: String): Machine {
         val machine = harness.machine(number, type, zone, spot = false)
-        repeat(8) { run(idle, number * 8 + it, machine) }
+        repeat(8) { harness.run(idle, number * 8 + it, machine) }
         return machine
     }
 
@@ -78,8 +61,8 @@
     fun `nothing is stopped in a zone that has its share of the service already`() {
         val service = waiting(service(4))
         val crowded = harness.machine(1, type, "a", spot = false)
-        repeat(2) { run(service, it, crowded) }
-        repeat(6) { run(idle, it, crowded) }
+        repeat(2) { harness.run(service, it, crowded) }
+        repeat(6) { harness.run(idle, it, crowded) }
         fullMachine(2, "b")
         preemption.preempt()
         assertEquals(0, stoppedIn("a"))
