--- a/src/main/kotlin/wardmux/Core.kt
+++ b/src/main/kotlin/wardmux/Core.kt
@@ -3,6 +3,8 @@
 import org.agrona.collections.Long2ObjectHashMap
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
+import wardmux.drain.DrainPlan
+import wardmux.drain.DrainProblem
 
 /** Who a request goes to. */
 sealed interface Target {
@@ -23,6 +25,9 @@
 enum class Port {
     API,
     PEER,
+
+    /** The operators' listener, which is off unless its address is set. */
+    OPERATOR,
 }
 
 /** What happens to the core. */
@@ -41,6 +46,9 @@
 
     /** The outcome of the [Effect.Send] with the same [id]. */
     class Reply(val id: Long, val outcome: Outcome) : Input
+
+    /** The plan for the [Effect.Solve] with the same [id], or null if none was found in time. */
+    class Solved(val id: Long, val plan: DrainPlan?) : Input
 }
 
 /** What became of a request. */
@@ -73,6 +81,9 @@
         val body: ByteArray,
         val timeout: Micros,
     ) : Effect
+
+    /** A plan to be worked out beside the core; it comes back as an [Input.Solved]. */
+    class Solve(val id: Long, val problem: DrainProblem, val limit: Micros) : Effect
 }
 
 /**
@@ -90,6 +101,7 @@
 
     private var lastRequest = 0L
     private val waiting = Long2ObjectHashMap<(Outcome) -> Unit>()
+    private val solving = Long2ObjectHashMap<(DrainPlan?) -> Unit>()
 
     /** Sets the time of the input that is handled next. */
     fun at(now: Micros, wall: Micros) {
@@ -116,6 +128,18 @@
         waiting.remove(reply.id)?.invoke(reply.outcome)
     }
 
+    /** Has a plan worked out within [limit]; [then] gets it, or null if there is none. */
+    fun solve(problem: DrainProblem, limit: Micros, then: (DrainPlan?) -> Unit) {
+        val id = ++lastRequest
+        solving[id] = then
+        effects.add(Effect.Solve(id, problem, limit))
+    }
+
+    /** Hands a plan to whoever asked for it. */
+    fun settle(solved: Input.Solved) {
+        solving.remove(solved.id)?.invoke(solved.plan)
+    }
+
     /** Answers the call [id] with text. */
     fun answer(id: Long, status: Int, body: String = "", retryAfterS: Int? = null) {
         effects.add(Effect.Answer(id, status, body.encodeToByteArray(), retryAfterS))
--- a/src/main/kotlin/wardmux/HttpStatus.kt
+++ b/src/main/kotlin/wardmux/HttpStatus.kt
@@ -7,6 +7,9 @@
     /** Carried out. */
     const val OK = 200
 
+    /** Carried out, and something new came of it. */
+    const val CREATED = 201
+
     /** The request is malformed. */
     const val BAD_REQUEST = 400
 
--- a/src/main/kotlin/wardmux/app/Controller.kt
+++ b/src/main/kotlin/wardmux/app/Controller.kt
@@ -11,6 +11,7 @@
 import wardmux.Token
 import wardmux.cloud.CloudClient
 import wardmux.cloud.MachineTypeCatalog
+import wardmux.drain.DrainApi
 import wardmux.fleet.Redirect
 import wardmux.fleet.ReportReader
 import wardmux.http.ApiPaths
@@ -88,6 +89,12 @@
             ::sendToLeader,
         )
 
+    /** The operators' interface; null where drains are switched off. */
+    private val drainApi =
+        operators.drain?.let {
+            DrainApi(context, store, { term?.drains?.desk }, leadership::leaderToName)
+        }
+
     private fun begin(role: Role.Leader) {
         term =
             LeaderSession(
@@ -120,6 +127,7 @@
             is Input.Tick -> tick()
             is Input.Call -> call(input)
             is Input.Reply -> context.settle(input)
+            is Input.Solved -> context.settle(input)
         }
         store.sendDue()
         return context.take()
@@ -143,6 +151,7 @@
     private fun call(call: Input.Call) {
         val path = call.path.substringBefore('?')
         if (call.port == Port.PEER) return peerCall(call, path)
+        if (call.port == Port.OPERATOR) return operatorCall(call)
         val parts = path.removePrefix("/").split('/')
         when {
             path == ApiPaths.READY -> only("GET", call) { ready(call.id) }
@@ -207,10 +216,16 @@
         context.answerBytes(call, HttpStatus.MISDIRECTED_REQUEST, Redirect(leader).encode())
     }
 
+    private fun operatorCall(call: Input.Call) {
+        val api = drainApi ?: return context.answer(call.id, HttpStatus.NOT_FOUND)
+        api.call(call)
+    }
+
     private fun peerCall(call: Input.Call, path: String) {
-        when (path) {
-            Peers.PATH -> heartbeat(call)
-            RelayCodec.PATH -> batch(call)
+        when {
+            path == Peers.PATH -> heartbeat(call)
+            path == RelayCodec.PATH -> batch(call)
+            path == DrainApi.PEER_PATH && drainApi != null -> drainApi.forwarded(call)
             else -> context.answer(call.id, HttpStatus.NOT_FOUND)
         }
     }
--- a/src/main/kotlin/wardmux/app/Daemon.kt
+++ b/src/main/kotlin/wardmux/app/Daemon.kt
@@ -9,6 +9,7 @@
 import wardmux.Micros
 import wardmux.Port
 import wardmux.Target
+import wardmux.drain.PlanWorker
 import wardmux.http.HttpClient
 import wardmux.http.HttpServer
 import wardmux.logger
@@ -24,6 +25,7 @@
         HttpServer(group, sockets.clients, sockets.workers, IDLE_SECONDS) {
             feed(Input.Call(it.id, it.port, it.method, it.path, it.body))
         }
+    private val solver = PlanWorker()
     private val clients = HashMap<Target, HttpClient>()
     private val workers =
         object : LinkedHashMap<String, HttpClient>(16, 0.75f, true) {
@@ -57,6 +59,7 @@
             }
             .sync()
         bind(platform.peerAddress, Port.PEER)
+        operators.drain?.listener?.let { bind(it, Port.OPERATOR) }
         val api = bind(platform.apiAddress, Port.API)
         log.info("{} listens for users on {}", platform.member, platform.apiAddress)
         api.closeFuture().sync()
@@ -90,6 +93,10 @@
 
     private fun perform(effect: Effect) {
         when (effect) {
+            is Effect.Solve ->
+                solver.solve(effect.problem, effect.limit) { plan ->
+                    group.next().execute { feed(Input.Solved(effect.id, plan)) }
+                }
             is Effect.Answer ->
                 server.answer(effect.id, effect.status, effect.body, effect.retryAfterS)
             is Effect.Send ->
--- a/src/main/kotlin/wardmux/app/OperatorSettings.kt
+++ b/src/main/kotlin/wardmux/app/OperatorSettings.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import wardmux.drain.DrainSettings
 
 /** The operators' own settings; each has a default, a unit in its name and a checked range. */
 @Serializable
@@ -34,9 +35,21 @@
     @SerialName("longest_wait_s") val longestWaitS: Double = 120.0,
     /** Reports a second for each whole core above which followers take reports too. */
     @SerialName("reports_per_core") val reportsPerCore: Double = 500.0,
+    /**
+     * Drains of machines for maintenance; without it there are none, and no operators' listener.
+     */
+    @SerialName("drain") val drain: DrainSettings? = null,
 ) {
     /** What is wrong, in one line that names the field, or null. */
-    fun problem(): String? =
+    fun problem(): String? = rangeProblem() ?: addressProblem()
+
+    private fun addressProblem(): String? {
+        val address = drain?.listener ?: return null
+        return if (SettingsFiles.address(address) != null) null
+        else "drain.address must be HOST:PORT or :PORT, but is '${drain.address}'"
+    }
+
+    private fun rangeProblem(): String? =
         listOf(
                 range("half_life_s", halfLifeS, 1.0, 1e9),
                 range("norm_s", normS, 1.0, 1e12),
@@ -53,7 +66,7 @@
                 range("longest_wait_s", longestWaitS, 1.0, 86400.0),
                 range("reports_per_core", reportsPerCore, 0.0, 1e9),
             )
-            .firstOrNull { it != null }
+            .firstOrNull { it != null } ?: drain?.problem()
 
     private fun range(name: String, value: Double, low: Double, high: Double): String? =
         if (value.isFinite() && value in low..high) null
--- a/src/main/kotlin/wardmux/app/WardmuxCommand.kt
+++ b/src/main/kotlin/wardmux/app/WardmuxCommand.kt
@@ -10,6 +10,7 @@
 import picocli.CommandLine.Option
 import picocli.CommandLine.ParameterException
 import picocli.CommandLine.Spec
+import wardmux.drain.DrainCommand
 
 /** Root of the command line; an operator's toolbox finds its place beside `serve` and `check`. */
 @Command(
@@ -17,13 +18,14 @@
     description = ["A cluster scheduler: runs users' jobs on rented machines, fairly and once."],
     mixinStandardHelpOptions = true,
     versionProvider = Version::class,
-    subcommands = [ServeCommand::class, CheckCommand::class, RehearseCommand::class],
+    subcommands =
+        [ServeCommand::class, CheckCommand::class, DrainCommand::class, RehearseCommand::class],
 )
 class WardmuxCommand : Runnable {
     @Spec lateinit var spec: CommandSpec
 
     override fun run() =
-        throw ParameterException(spec.commandLine(), "Missing command: serve or check")
+        throw ParameterException(spec.commandLine(), "Missing command: serve, check or drain")
 }
 
 /** Reads the version from the manifest of the packaged program. */
@@ -50,8 +52,13 @@
     var settings: File? = null
 
     /** Both settings, checked; throws [BadSettings] if one is wrong. */
-    fun read(): Pair<PlatformSettings, OperatorSettings> =
-        SettingsFiles.platform(config) to SettingsFiles.operators(settings)
+    fun read(): Pair<PlatformSettings, OperatorSettings> {
+        val platform = SettingsFiles.platform(config)
+        val operators = SettingsFiles.operators(settings)
+        val teams = platform.facts.teams.mapTo(HashSet()) { it.name }
+        operators.drain?.unknownTeam(teams)?.let { throw BadSettings("${settings?.name}: $it") }
+        return platform to operators
+    }
 }
 
 private const val EXIT_BAD_SETTINGS = 78
@@ -79,7 +86,9 @@
             Daemon(platform, operators).run()
             0
         } catch (e: java.net.BindException) {
-            System.err.println("wardmux: api_addr or peer_bind cannot be listened on: ${e.message}")
+            System.err.println(
+                "wardmux: api_addr, peer_bind or drain.address cannot be listened on: ${e.message}"
+            )
             1
         }
     }
--- a/src/main/kotlin/wardmux/cloud/JobProvisioner.kt
+++ b/src/main/kotlin/wardmux/cloud/JobProvisioner.kt
@@ -5,6 +5,7 @@
 import wardmux.dispatch.Eligibility
 import wardmux.dispatch.Job
 import wardmux.fleet.Machine
+import wardmux.fleet.Maintenance
 import wardmux.intake.JobSpec
 import wardmux.intake.Shape
 
@@ -22,6 +23,13 @@
         if (job.atFault) return
         if (job.spec.isGang) return rentForGang(job, known)
         if (isThere(job) || isComing(job)) return
+        rentOne(job, known)
+    }
+
+    /**
+     * Asks for one machine that suits the job, of the cheapest kind that was not refused lately.
+     */
+    fun rentOne(job: Job, known: List<MachineType>) {
         for (spot in listOf(true, false)) {
             for (type in known.sortedBy { if (spot) it.spotPrice else it.price }) {
                 val zone =
@@ -37,6 +45,7 @@
         cluster.machines.values.any {
             !it.decommissioned &&
                 it.recalledAt == null &&
+                it.maintenance != Maintenance.CORDONED &&
                 eligibility.suits(job, it.type, it.zone, it.spot) &&
                 mayBecomeFree(job, it)
         }
@@ -52,8 +61,8 @@
                 it.job.spec.shape != Shape.DAEMON || it.job.spec.urgency > job.spec.urgency
             }
 
-    private fun isComing(job: Job) =
-        orders.any { eligibility.suits(job, it.type, it.zone, it.spot) }
+    /** A machine that suits the job is asked for. */
+    fun isComing(job: Job) = orders.any { eligibility.suits(job, it.type, it.zone, it.spot) }
 
     /**
      * As much as the gang lacks of machines that it may use, in one zone if it asks for that: then
--- a/src/main/kotlin/wardmux/cloud/MachineDrainer.kt
+++ b/src/main/kotlin/wardmux/cloud/MachineDrainer.kt
@@ -59,7 +59,8 @@
     /** Moves replicas off machines that are being emptied; a few at a time. */
     fun moveReplicas() {
         val draining = cluster.machines.values.filter { it.draining && !it.decommissioned }
-        if (draining.isEmpty()) return
+        // Operators' drains move tasks within budgets, which this must not use up.
+        if (draining.isEmpty() || cluster.hasDrains) return
         val moving = cluster.machines.values.sumOf { m -> m.placements.values.count { it.halting } }
         var left = MOST_MOVING - moving
         val targets = cluster.machines.values.filter { !it.draining && eligibility.usable(it) }
--- a/src/main/kotlin/wardmux/cloud/Provisioner.kt
+++ b/src/main/kotlin/wardmux/cloud/Provisioner.kt
@@ -9,6 +9,7 @@
 import wardmux.dispatch.Planner
 import wardmux.fleet.Fleet
 import wardmux.fleet.Machine
+import wardmux.fleet.Maintenance
 import wardmux.logger
 import wardmux.secs
 
@@ -34,13 +35,18 @@
     private class Stock(val all: Double, val ordinary: Double)
 
     private val log = logger<Provisioner>()
-    private val jobs = JobProvisioner(cluster, planner.eligibility, orders)
+    /** Rents for single jobs. */
+    val jobs = JobProvisioner(cluster, planner.eligibility, orders)
     private val smoothed = HashMap<String, Double>()
     private val electedAt = context.now
     private var decideAt = Micros.LONG_AGO
     private var listAt = Micros.LONG_AGO
     private var listing = false
-    private var listed = false
+
+    /** What an earlier leader rented is known: the list was had under this one. */
+    var listed = false
+        private set
+
     private var deleteAt = Micros.LONG_AGO
     private val spending = Spending()
     private val expiringDecommissions = ArrayDeque<ExpiringRecord>()
@@ -79,6 +85,7 @@
         val known = cluster.machines[id]
         val machine = known ?: fleet.machine(id, entry.type, entry.zone, entry.spot) ?: return
         machine.onlyStaleReports = false
+        machine.listed(context.wall, entry.heldS.secs)
         if (known == null) log.info("{} is listed as {} and was not known", id, entry.status)
         when (entry.status) {
             "failed" -> {
@@ -160,7 +167,7 @@
     }
 
     private fun stock(pool: MachinePool, own: List<Machine>): Stock {
-        val usable = own.filter { it.recalledAt == null && !it.onlyStaleReports && !it.draining }
+        val usable = own.filter { counts(it) }
         val ordinary = usable.filter { !it.spot }.sumOf { pool.weightOf(it.type) }
         val spot = usable.filter { it.spot }.sumOf { pool.weightOf(it.type) }
         val ordinaryComing = coming(pool, spot = false)
@@ -168,6 +175,13 @@
         return Stock(all, ordinary + ordinaryComing)
     }
 
+    /** A machine that operators drain counts as gone, so that its room is rented elsewhere. */
+    private fun counts(machine: Machine) =
+        machine.recalledAt == null &&
+            !machine.onlyStaleReports &&
+            !machine.draining &&
+            machine.maintenance == Maintenance.NONE
+
     private fun coming(pool: MachinePool, spot: Boolean): Double =
         pool.types.sumOf { type ->
             val count = orders.count { it.type.label == type.label && it.spot == spot }
--- a/src/main/kotlin/wardmux/dispatch/Cluster.kt
+++ b/src/main/kotlin/wardmux/dispatch/Cluster.kt
@@ -34,6 +34,9 @@
     /** Machines that may have orders to be sent to them directly. */
     val due = LinkedHashSet<Machine>()
 
+    /** Operators' drains are not over: only these move what would run on elsewhere. */
+    var hasDrains = false
+
     /** Counts what may let a waiting task start; a plan that found nothing is not made again. */
     var changes = 0L
         private set
--- a/src/main/kotlin/wardmux/dispatch/Eligibility.kt
+++ b/src/main/kotlin/wardmux/dispatch/Eligibility.kt
@@ -6,8 +6,10 @@
 import wardmux.cloud.MachinePools
 import wardmux.cloud.MachineType
 import wardmux.fleet.Machine
+import wardmux.fleet.Maintenance
 import wardmux.intake.JobSpec
 import wardmux.intake.Shape
+import wardmux.intake.Urgency
 import wardmux.secs
 
 /** Which machines a task may go to, and which of them suits it best. */
@@ -24,6 +26,7 @@
         return machine.confirmed &&
             !machine.decommissioned &&
             !machine.draining &&
+            machine.maintenance != Maintenance.CORDONED &&
             !machine.directBroken &&
             !machine.unconnected &&
             machine.recalledAt == null &&
@@ -41,7 +44,8 @@
     fun allowed(spec: JobSpec, machine: Machine): Boolean =
         (spec.spot || !machine.spot) &&
             (spec.types == null || machine.type.label in spec.types) &&
-            (spec.zone == null || spec.zone == machine.zone)
+            (spec.zone == null || spec.zone == machine.zone) &&
+            (machine.maintenance != Maintenance.YIELDING || spec.urgency <= Urgency.HIGH)
 
     /** True if a machine of this kind could take a task of the job, were it empty. */
     fun suits(job: Job, type: MachineType, zone: String, spot: Boolean): Boolean {
--- a/src/main/kotlin/wardmux/dispatch/Job.kt
+++ b/src/main/kotlin/wardmux/dispatch/Job.kt
@@ -155,6 +155,14 @@
     val begun: Boolean
         get() = !placements.isEmpty() || !attempts.isEmpty()
 
+    /** Tasks that were started once, are not done and are not placed now. */
+    val interrupted: List<Int>
+        get() =
+            attempts
+                .int2IntEntrySet()
+                .filter { it.intValue > 0 && free(it.intKey) }
+                .map { it.intKey }
+
     fun isDone(task: Int) = done.get(task)
 
     fun isRecorded(task: Int) = finished || recorded.get(task)
--- /dev/null
+++ b/src/main/kotlin/wardmux/drain/Disruptions.kt
@@ -0,0 +1,166 @@
+package wardmux.drain
+
+import kotlin.math.ceil
+import wardmux.CoreContext
+import wardmux.JobId
+import wardmux.Micros
+import wardmux.dispatch.Cluster
+import wardmux.dispatch.Job
+import wardmux.fleet.Machine
+import wardmux.fleet.Placement
+import wardmux.fleet.TaskStatus
+import wardmux.intake.Shape
+
+/** Why a budget has no room. */
+sealed interface BudgetRefusal {
+    /** As the operators read it. */
+    val text: String
+
+    /** The budget is too small for this, whatever comes back. */
+    data class Never(override val text: String) : BudgetRefusal
+
+    /** Workers that are disrupted now have to run again first. */
+    data class NotNow(override val text: String) : BudgetRefusal
+}
+
+/**
+ * How many workers (running tasks) of each team are disrupted. A task counts from its first start
+ * until it is done: as up only while it is reported as running under this leader's token by a
+ * machine that is heard and is not about to go, and otherwise as disrupted. So what was stopped by
+ * a drain counts, what was lost by a crash, a recall or a preemption, and whatever is in doubt,
+ * such as all that a new leader has not heard of yet.
+ */
+class Disruptions(
+    private val context: CoreContext,
+    private val cluster: Cluster,
+    private val settings: DrainSettings,
+    /** A machine that was not heard for as long is in doubt. */
+    private val heardWithin: Micros,
+) {
+    /** Stops that went out in this term: the task may report that it runs for a while yet. */
+    private val stopsSent = HashSet<Pair<String, Int>>()
+    private val upByTeam = HashMap<String, Int>()
+    private val lostByTeam = HashMap<String, Int>()
+    private val lostByService = HashMap<JobId, Int>()
+
+    /** Counts anew; between two counts [stopped] keeps them up to date. */
+    fun count() {
+        upByTeam.clear()
+        lostByTeam.clear()
+        lostByService.clear()
+        for (job in cluster.jobs.values) if (!job.over && !job.complete) count(job)
+        if (stopsSent.size > MOST_STOPS_KEPT) forgetOldStops()
+    }
+
+    private fun count(job: Job) {
+        var up = 0
+        var lost = job.interrupted.size
+        for (placement in job.placements.values) {
+            if (isUp(placement)) up++ else if (wasUp(placement)) lost++
+        }
+        upByTeam.merge(job.spec.team, up, Int::plus)
+        lostByTeam.merge(job.spec.team, lost, Int::plus)
+        if (job.spec.shape == Shape.DAEMON) lostByService[job.id] = lost
+    }
+
+    private fun forgetOldStops() {
+        val placed = HashSet<Pair<String, Int>>()
+        for (job in cluster.jobs.values) job.placements.values.mapTo(placed) { it.attemptKey }
+        stopsSent.retainAll(placed)
+    }
+
+    /** True if the task surely runs, and nothing that was sent will end it. */
+    fun isUp(placement: Placement): Boolean {
+        val machine = cluster.machines[placement.machine] ?: return false
+        return placement.status == TaskStatus.RUNNING &&
+            !placement.halting &&
+            placement.attemptKey !in stopsSent &&
+            isSound(machine)
+    }
+
+    private fun isSound(machine: Machine): Boolean {
+        val heardAt = machine.heardAt ?: return false
+        return machine.confirmed &&
+            !machine.decommissioned &&
+            machine.recalledAt == null &&
+            context.now - heardAt < heardWithin
+    }
+
+    /**
+     * A first start that this leader decided and that does not run yet was never up. One that an
+     * earlier leader recorded may have been.
+     */
+    private fun wasUp(placement: Placement) =
+        placement.restored ||
+            placement.attempt > 1 ||
+            placement.runningSince != null ||
+            placement.attemptKey in stopsSent
+
+    /** The task counts as disrupted already, so that its stop takes nothing more. */
+    fun isLost(placement: Placement) = !isUp(placement) && wasUp(placement)
+
+    /** The stop of this task went out, so it counts as disrupted from now. */
+    fun stopped(placement: Placement) {
+        val spec = placement.job.spec
+        val wasLost = isLost(placement)
+        val wasUp = isUp(placement)
+        if (!stopsSent.add(placement.attemptKey) || wasLost) return
+        lostByTeam.merge(spec.team, 1, Int::plus)
+        if (wasUp) upByTeam.merge(spec.team, -1, Int::plus)
+        if (spec.shape == Shape.DAEMON) lostByService.merge(placement.job.id, 1, Int::plus)
+    }
+
+    /** Workers of the team that are disrupted or may be. */
+    fun lostOf(team: String): Int = lostByTeam[team] ?: 0
+
+    /** The most that may be disrupted at once, by the number and the share of the team's budget. */
+    fun limitOf(team: String): Int {
+        val budget = settings.budgetOf(team)
+        val workers = (upByTeam[team] ?: 0) + lostOf(team)
+        return minOf(budget.mostDisrupted, ceil(workers * budget.mostDisruptedShare).toInt())
+    }
+
+    /** How many replicas of the service may be down at once. */
+    fun replicasThatMayBeDown(job: Job): Int =
+        (job.spec.tasks - settings.budgetOf(job.spec.team).leastReplicas).coerceAtLeast(0)
+
+    /** Why [count] more tasks of the job may not be stopped now, or null if they may. */
+    fun refusal(job: Job, count: Int): BudgetRefusal? {
+        val team = job.spec.team
+        val budget = settings.budgetOf(team)
+        if (budget.mostDisrupted < count || budget.mostDisruptedShare <= 0.0)
+            return BudgetRefusal.Never(
+                "team $team: ${job.id} disrupts $count at once, its budget is " +
+                    "${budget.mostDisrupted} (share ${budget.mostDisruptedShare})"
+            )
+        if (job.spec.shape == Shape.DAEMON)
+            replicaRefusal(job, count)?.let {
+                return it
+            }
+        val limit = limitOf(team)
+        if (lostOf(team) + count <= limit) return null
+        return BudgetRefusal.NotNow("team $team: ${lostOf(team)} of $limit workers are disrupted")
+    }
+
+    private fun replicaRefusal(job: Job, count: Int): BudgetRefusal? {
+        val most = replicasThatMayBeDown(job)
+        val down = lostByService[job.id] ?: 0
+        return when {
+            most < count ->
+                BudgetRefusal.Never(
+                    "team ${job.spec.team}: ${job.id} has ${job.spec.tasks} replicas, and " +
+                        "${settings.budgetOf(job.spec.team).leastReplicas} must stay up"
+                )
+            down + count > most ->
+                BudgetRefusal.NotNow("${job.id}: $down of at most $most replicas are down")
+            else -> null
+        }
+    }
+
+    private val Placement.attemptKey: Pair<String, Int>
+        get() = name to attempt
+
+    private companion object {
+        const val MOST_STOPS_KEPT = 1_000
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/drain/DrainApi.kt
@@ -0,0 +1,166 @@
+package wardmux.drain
+
+import kotlinx.serialization.KSerializer
+import wardmux.CoreContext
+import wardmux.HttpStatus
+import wardmux.Input
+import wardmux.Outcome
+import wardmux.Target
+import wardmux.peers.PeerCodec
+import wardmux.secs
+import wardmux.store.Priority
+import wardmux.store.StateStore
+
+/** Answers to operators. */
+object OperatorAnswers {
+    private const val RETRY_AFTER_S = 1
+
+    /** Nobody can decide now; at once, with when to come back. */
+    val UNAVAILABLE =
+        error(HttpStatus.SERVICE_UNAVAILABLE, DrainError("no leader can decide now"), RETRY_AFTER_S)
+
+    /** A drain as it is. */
+    fun status(code: Int, status: DrainStatus) = of(code, DrainStatus.serializer(), status)
+
+    /** All drains. */
+    fun list(list: DrainList) = of(HttpStatus.OK, DrainList.serializer(), list)
+
+    /** What a drain would do. */
+    fun check(check: DrainCheck) = of(HttpStatus.OK, DrainCheck.serializer(), check)
+
+    /** The request is wrong; [problem] names the field. */
+    fun malformed(problem: String) = error(HttpStatus.BAD_REQUEST, DrainError(problem))
+
+    /** There is no drain with this id. */
+    fun unknown(id: String) = error(HttpStatus.NOT_FOUND, DrainError("no such drain: $id"))
+
+    /** The drain's [state] does not allow what was asked for. */
+    fun conflict(why: String, state: DrainState) =
+        error(HttpStatus.CONFLICT, DrainError(why, state))
+
+    /** There is no such path. */
+    fun noSuchPath() = error(HttpStatus.NOT_FOUND, DrainError("no such path"))
+
+    /** The path is not asked with this method. */
+    fun wrongMethod() = error(HttpStatus.METHOD_NOT_ALLOWED, DrainError("use GET or POST"))
+
+    private fun error(code: Int, error: DrainError, retryAfterS: Int? = null) =
+        OperatorAnswer(
+            code,
+            operatorJson.encodeToString(DrainError.serializer(), error),
+            retryAfterS,
+        )
+
+    private fun <T> of(code: Int, serializer: KSerializer<T>, value: T) =
+        OperatorAnswer(code, operatorJson.encodeToString(serializer, value))
+}
+
+/**
+ * The operators' interface on every controller. A leader answers by itself; any other passes on to
+ * it, and where that fails answers questions from the state service, saying so. It never passes on
+ * what was passed on to it, so that two controllers which take each other for the leader stop
+ * there.
+ */
+class DrainApi(
+    private val context: CoreContext,
+    private val store: StateStore,
+    /** The drains of the session that this controller leads, or null. */
+    private val desk: () -> DrainDesk?,
+    /** Another controller that is known to lead. */
+    private val leader: () -> String?,
+) {
+    /** A call on the operators' listener. */
+    fun call(call: Input.Call) {
+        val path = call.path.substringBefore('?')
+        if (path != PATH && !path.startsWith("$PATH/"))
+            return answer(call.id, OperatorAnswers.noSuchPath())
+        val request = ForwardedRequest(call.method, path, call.body)
+        val own = desk()
+        if (own != null) return own.handle(request) { answerOrLookUp(call.id, request, it) }
+        val member = leader() ?: return lookUp(call.id, request, OperatorAnswers.UNAVAILABLE)
+        passOn(call.id, member, request)
+    }
+
+    /** A request that another controller passes on. */
+    fun forwarded(call: Input.Call) {
+        val request =
+            PeerCodec.decode(ForwardedRequest.serializer(), call.body)
+                ?: return context.answer(call.id, HttpStatus.BAD_REQUEST)
+        val own = desk() ?: return context.answer(call.id, HttpStatus.CONFLICT)
+        own.handle(request) { answer ->
+            val wire = ForwardedAnswer(answer.status, answer.body, answer.retryAfterS)
+            val bytes = PeerCodec.encode(ForwardedAnswer.serializer(), wire)
+            context.answerBytes(call.id, HttpStatus.OK, bytes)
+        }
+    }
+
+    private fun passOn(call: Long, member: String, request: ForwardedRequest) {
+        val body = PeerCodec.encode(ForwardedRequest.serializer(), request)
+        context.send(Target.Sibling(member), "POST", PEER_PATH, body, TIMEOUT) { outcome ->
+            val response = outcome as? Outcome.Response
+            val told =
+                response
+                    ?.takeIf { it.status == HttpStatus.OK }
+                    ?.let { PeerCodec.decode(ForwardedAnswer.serializer(), it.body) }
+            if (told == null) lookUp(call, request, OperatorAnswers.UNAVAILABLE)
+            else
+                answerOrLookUp(
+                    call,
+                    request,
+                    OperatorAnswer(told.status, told.body, told.retryAfterS),
+                )
+        }
+    }
+
+    private fun answerOrLookUp(call: Long, request: ForwardedRequest, answer: OperatorAnswer) {
+        if (answer.status == HttpStatus.SERVICE_UNAVAILABLE) lookUp(call, request, answer)
+        else answer(call, answer)
+    }
+
+    /** Questions are answered from what is stored; all else is [refused]. */
+    private fun lookUp(call: Long, request: ForwardedRequest, refused: OperatorAnswer) {
+        if (request.method != "GET") return answer(call, refused)
+        val askedAt = context.now
+        store.scan(DrainRecord.PREFIX, DrainRecord.serializer(), Priority.READ) { found ->
+            if (found == null) return@scan answer(call, refused)
+            val age = (context.now - askedAt).seconds
+            val readable = found.items.mapNotNull { it.data }
+            val drains = readable.map { DrainStatus(it, Source.STORE, ageS = age) }
+            val unreadable = found.items.filter { it.data == null }.map { it.key }
+            val id = request.path.removePrefix(PATH).trim('/')
+            val one = drains.firstOrNull { it.record.request.id == id }
+            answer(
+                call,
+                when {
+                    id.isEmpty() -> OperatorAnswers.list(DrainList(drains, unreadable))
+                    one != null -> OperatorAnswers.status(HttpStatus.OK, one)
+                    else -> OperatorAnswers.unknown(id)
+                },
+            )
+        }
+    }
+
+    private fun answer(call: Long, answer: OperatorAnswer) =
+        context.answer(call, answer.status, answer.body, answer.retryAfterS)
+
+    companion object {
+        /** Drains on the operators' listener; below it each has its id. */
+        const val PATH = "/drains"
+
+        /** Below [PATH]: a dry run. */
+        const val CHECK = "check"
+
+        /** Below a drain: holds it up until it is resumed. */
+        const val PAUSE = "pause"
+
+        /** Below a drain: lets a paused one go on. */
+        const val RESUME = "resume"
+
+        /** Below a drain: ends it; its machines take tasks again. */
+        const val CANCEL = "cancel"
+
+        /** What controllers pass on to each other. */
+        const val PEER_PATH = "/operate"
+        private val TIMEOUT = 3.secs
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/drain/DrainDesk.kt
@@ -0,0 +1,241 @@
+package wardmux.drain
+
+import kotlinx.serialization.SerializationException
+import wardmux.CoreContext
+import wardmux.HttpStatus
+import wardmux.Micros
+import wardmux.Token
+import wardmux.cloud.MachineType
+import wardmux.dispatch.Cluster
+import wardmux.store.jsonBytes
+
+/** What operators ask of the leader: starting, checking, looking at and steering drains. */
+class DrainDesk(
+    private val context: CoreContext,
+    private val drains: DrainStore,
+    private val manager: DrainManager,
+    private val cluster: Cluster,
+    private val disruptions: Disruptions,
+    private val executor: StepExecutor,
+    private val plans: PlanDesk,
+    private val settings: DrainSettings,
+    private val token: Token,
+    private val zones: List<String>,
+    private val types: () -> List<MachineType>,
+    /** This leader may decide: it is sure of its lease and knows what is stored. */
+    private val mayDecide: () -> Boolean,
+) {
+    private val selection = DrainSelection(cluster)
+
+    /** Answers a request, as a rule once something is written. */
+    fun handle(request: ForwardedRequest, answer: (OperatorAnswer) -> Unit) {
+        if (!mayDecide() || !drains.isRead) return answer(OperatorAnswers.UNAVAILABLE)
+        disruptions.count()
+        val parts = request.path.substringBefore('?').removePrefix(DrainApi.PATH).trim('/')
+        val id = parts.substringBefore('/')
+        val verb = parts.substringAfter('/', "")
+        when {
+            request.method == "GET" && id.isEmpty() -> answer(OperatorAnswers.list(list()))
+            request.method == "GET" && verb.isEmpty() -> status(id, answer)
+            request.method != "POST" -> answer(OperatorAnswers.wrongMethod())
+            id.isEmpty() -> start(request.body, answer)
+            id == DrainApi.CHECK && verb.isEmpty() -> check(request.body, answer)
+            else -> steer(id, verb, answer)
+        }
+    }
+
+    private fun list() =
+        DrainList(
+            drains.all.map { DrainStatus(it, Source.LEADER, waitsFor = waitsFor(it)) },
+            drains.unreadableIds.toList(),
+        )
+
+    private fun waitsFor(record: DrainRecord) =
+        if (record.state.isFinal) "" else manager.waitsFor(record.request.id)
+
+    private fun status(id: String, answer: (OperatorAnswer) -> Unit) {
+        val record = drains[id] ?: return answer(OperatorAnswers.unknown(id))
+        answer(OperatorAnswers.status(HttpStatus.OK, statusOf(record)))
+    }
+
+    private fun statusOf(record: DrainRecord): DrainStatus {
+        val remaining = manager.remaining(record)
+        val teams =
+            remaining.flatMap { it.placements.values }.mapTo(sortedSetOf()) { it.job.spec.team }
+        return DrainStatus(
+            record,
+            Source.LEADER,
+            waitsFor = waitsFor(record),
+            remaining = remaining.size,
+            budgets = teams.map { budgetOf(it) },
+        )
+    }
+
+    private fun budgetOf(team: String) =
+        BudgetStatus(
+            team,
+            disruptions.limitOf(team),
+            disruptions.lostOf(team),
+            settings.budgetOf(team).leastReplicas,
+        )
+
+    /** The request in [body], or null once [answer] has said what is wrong with it. */
+    private fun read(body: ByteArray, answer: (OperatorAnswer) -> Unit): DrainRequest? {
+        val request =
+            try {
+                operatorJson.decodeFromString(DrainRequest.serializer(), body.decodeToString())
+            } catch (e: SerializationException) {
+                answer(OperatorAnswers.malformed(e.message.orEmpty().lineSequence().first()))
+                return null
+            }
+        val problem =
+            DrainRequests.problem(request, context.wall)
+                ?: selection.problem(request.select, types(), zones)
+        if (problem != null) answer(OperatorAnswers.malformed(problem))
+        return if (problem == null) request else null
+    }
+
+    private fun start(body: ByteArray, answer: (OperatorAnswer) -> Unit) {
+        // A repeat of a start is the same drain, also where its machines are gone by now.
+        val known = DrainRequests.idIn(body)?.let { drains[it] }
+        if (known != null) return answer(OperatorAnswers.status(HttpStatus.OK, statusOf(known)))
+        val request = read(body, answer) ?: return
+        if (request.id in drains.unreadableIds)
+            return answer(OperatorAnswers.conflict("can't be read", DrainState.FAILED))
+        if (selection.targets(request, context.wall).isEmpty())
+            return answer(OperatorAnswers.malformed("select: no machine is selected"))
+        val now = context.wall.value
+        val record = DrainRecord(request, DrainState.PLANNED, token.value, now, now)
+        if (jsonBytes(record.toJson()) > drains.maxBytes / PART_FOR_REQUEST)
+            return answer(OperatorAnswers.malformed("select.machines: too many to be stored"))
+        makeRoom()
+        write(record, HttpStatus.CREATED, answer)
+    }
+
+    /** Drains that are over are kept for a while, and the oldest go first. */
+    private fun makeRoom() {
+        val over = drains.all.filter { it.state.isFinal }.sortedBy { it.changedAt }
+        over.dropLast(MOST_KEPT).firstOrNull()?.let { drains.remove(it.request.id) }
+    }
+
+    private fun check(body: ByteArray, answer: (OperatorAnswer) -> Unit) {
+        val request = read(body, answer) ?: return
+        val targets = selection.targets(request, context.wall)
+        if (targets.isEmpty())
+            return answer(OperatorAnswers.malformed("select: no machine is selected"))
+        val plan = GreedyPlanner.plan(plans.problem(request, targets))
+        val record = DrainRecord(request, DrainState.PLANNED, token.value, context.wall.value, 0)
+        val moving = targets.flatMap { executor.tasksToMove(it, request) }
+        val teams = moving.mapTo(sortedSetOf()) { it.job.spec.team }
+        answer(
+            OperatorAnswers.check(
+                DrainCheck(
+                    targets.size,
+                    plan.steps.map { step -> step.map { it.machine.value } },
+                    moving.size,
+                    teams.map { budgetOf(it) },
+                    manager.wouldStop(record),
+                )
+            )
+        )
+    }
+
+    private fun steer(id: String, verb: String, answer: (OperatorAnswer) -> Unit) {
+        val record = drains[id] ?: return answer(OperatorAnswers.unknown(id))
+        if (drains.isBusy(id)) return answer(OperatorAnswers.UNAVAILABLE)
+        val next =
+            when (verb) {
+                DrainApi.PAUSE -> paused(record)
+                DrainApi.RESUME -> resumed(record)
+                DrainApi.CANCEL -> record.copy(state = DrainState.CANCELLED, step = null)
+                else -> return answer(OperatorAnswers.noSuchPath())
+            }
+        val isRepeat = record.state == next.state && record.reason == next.reason
+        when {
+            isRepeat -> answer(OperatorAnswers.status(HttpStatus.OK, statusOf(record)))
+            record.state.isFinal ->
+                answer(OperatorAnswers.conflict("drain $id is over", record.state))
+            else -> write(next, HttpStatus.OK, answer)
+        }
+    }
+
+    private fun paused(record: DrainRecord) =
+        record.copy(state = DrainState.PAUSED, reason = PauseReason.OPERATOR, note = "")
+
+    /** One that is past its deadline goes on without it. */
+    private fun resumed(record: DrainRecord): DrainRecord {
+        if (record.state != DrainState.PAUSED && !record.state.isFinal) return record
+        val state = if (record.step == null) DrainState.PLANNED else DrainState.RUNNING
+        val past = record.reason == PauseReason.DEADLINE
+        val request = if (past) record.request.copy(deadline = null) else record.request
+        return record.copy(state = state, reason = null, note = "", request = request)
+    }
+
+    private fun write(record: DrainRecord, status: Int, answer: (OperatorAnswer) -> Unit) {
+        val next = record.copy(token = token.value, changedAt = context.wall.value)
+        drains.write(next) { outcome ->
+            if (outcome == DrainWrite.WRITTEN)
+                answer(OperatorAnswers.status(status, statusOf(next)))
+            else answer(OperatorAnswers.UNAVAILABLE)
+        }
+    }
+
+    private companion object {
+        /** Drains that are over and still kept. */
+        const val MOST_KEPT = 20
+
+        /** The rest of the record is for the step under way. */
+        const val PART_FOR_REQUEST = 3
+    }
+}
+
+/** Checks drains as they are asked for. */
+object DrainRequests {
+    private val idForm = Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+    private const val LONGEST_GRACE_S = 86_400.0
+    private const val LARGEST_STEP = 20
+
+    /** What is wrong with the request by itself, in one line that names the field, or null. */
+    fun problem(request: DrainRequest, now: Micros): String? =
+        idProblem(request.id)
+            ?: DrainSettings.outside("grace_s", request.graceS, 0.0, LONGEST_GRACE_S)
+            ?: stepProblem(request.stepSize)
+            ?: deadlineProblem(request.deadline, now)
+            ?: selectProblem(request.select)
+
+    private fun idProblem(id: String): String? =
+        when {
+            !idForm.matches(id) -> "id: letters, digits, '.', '_' and '-', at most 64: $id"
+            id == DrainApi.CHECK -> "id: $id is a word of the interface"
+            else -> null
+        }
+
+    private fun stepProblem(size: Int): String? =
+        if (size in 1..LARGEST_STEP) null
+        else "step_size must be from 1 to $LARGEST_STEP, but is $size"
+
+    private fun deadlineProblem(deadline: String?, now: Micros): String? {
+        val moment =
+            DrainSelection.momentOf(deadline ?: return null)
+                ?: return "deadline: no time with an offset: $deadline"
+        return if (moment <= now) "deadline: is past: $deadline" else null
+    }
+
+    private fun selectProblem(select: DrainSelector): String? {
+        val olderThan = select.olderThan
+        return when {
+            select == DrainSelector() -> "select: names nothing"
+            olderThan != null && DrainSelection.momentOf(olderThan) == null ->
+                "select.older_than: no time with an offset: $olderThan"
+            else -> null
+        }
+    }
+
+    /** The id in a request, also in one that is wrong otherwise; null if there is none. */
+    fun idIn(body: ByteArray): String? =
+        try {
+            operatorJson.decodeFromString(DrainRequest.serializer(), body.decodeToString()).id
+        } catch (e: SerializationException) {
+            null
+        }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/drain/DrainSelection.kt
@@ -0,0 +1,59 @@
+package wardmux.drain
+
+import java.time.DateTimeException
+import java.time.OffsetDateTime
+import wardmux.MachineId
+import wardmux.Micros
+import wardmux.cloud.MachineType
+import wardmux.dispatch.Cluster
+import wardmux.fleet.Machine
+
+/** Which machines a drain still has to take out. */
+class DrainSelection(private val cluster: Cluster) {
+    /**
+     * Machines rented after the drain was started are left alone, unless they are named: the
+     * replacements are among them.
+     */
+    fun targets(request: DrainRequest, startedAt: Micros): List<Machine> {
+        val oldEnough = request.select.olderThan?.let { momentOf(it) }
+        return cluster.machines.values.filter { machine ->
+            !machine.decommissioned &&
+                selects(request.select, machine) &&
+                isOld(request.select, machine, minOf(startedAt, oldEnough ?: startedAt))
+        }
+    }
+
+    private fun selects(select: DrainSelector, machine: Machine) =
+        (select.machines.isEmpty() || machine.id.value in select.machines) &&
+            (select.types.isEmpty() || machine.type.label in select.types) &&
+            (select.zones.isEmpty() || machine.zone in select.zones) &&
+            (select.spot == null || machine.spot == select.spot)
+
+    private fun isOld(select: DrainSelector, machine: Machine, before: Micros): Boolean {
+        val named = machine.id.value in select.machines
+        if (named && select.olderThan == null) return true
+        return machine.rentedBefore?.let { it <= before } == true
+    }
+
+    /** What of the selection does not exist, in one line that names the field, or null. */
+    fun problem(select: DrainSelector, types: List<MachineType>, zones: List<String>): String? {
+        val labels = types.map { it.label }
+        return select.types.firstOrNull { it !in labels }?.let { "select.types: unknown: $it" }
+            ?: select.zones.firstOrNull { it !in zones }?.let { "select.zones: unknown: $it" }
+            ?: select.machines
+                .firstOrNull { MachineId(it) !in cluster.machines }
+                ?.let { "select.machines: unknown: $it" }
+    }
+
+    companion object {
+        private const val MICROS_PER_MILLI = 1_000L
+
+        /** An ISO 8601 time with its offset as time of day; null if [text] is none. */
+        fun momentOf(text: String): Micros? =
+            try {
+                Micros(OffsetDateTime.parse(text).toInstant().toEpochMilli() * MICROS_PER_MILLI)
+            } catch (e: DateTimeException) {
+                null
+            }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/drain/DrainText.kt
@@ -0,0 +1,66 @@
+package wardmux.drain
+
+import kotlinx.serialization.SerializationException
+import wardmux.Micros
+
+/** Answers as operators read them on a terminal. */
+object DrainText {
+    /** One drain in full. */
+    fun status(status: DrainStatus): String {
+        val record = status.record
+        val lines = ArrayList<String>()
+        lines += "drain ${record.request.id}: ${stateOf(record)}"
+        lines +=
+            "  ${record.stepsDone} steps done, ${record.returned} machines returned, " +
+                "${record.moved} tasks moved" +
+                status.remaining?.let { ", $it machines left" }.orEmpty()
+        record.step?.let { lines += "  ${stepOf(it)}" }
+        if (status.waitsFor.isNotEmpty()) lines += "  waits for: ${status.waitsFor}"
+        for (budget in status.budgets) lines += "  ${budgetOf(budget)}"
+        lines += "  started ${timeOf(record.startedAt)}, changed ${timeOf(record.changedAt)}"
+        if (status.source == Source.STORE)
+            lines += "  no leader could be asked: as it is stored, ${status.ageS} s old"
+        return lines.joinToString("\n")
+    }
+
+    /** A line for each drain. */
+    fun list(list: DrainList): String {
+        val lines = list.drains.map { "${it.record.request.id}  ${stateOf(it.record)}" }
+        val all = lines + list.unreadable.map { "$it  failed: its record can't be read" }
+        return if (all.isEmpty()) "no drains" else all.joinToString("\n")
+    }
+
+    /** The steps of a dry run. */
+    fun check(check: DrainCheck): String {
+        val head = "${check.machines} machines, ${check.tasksToMove} tasks to move"
+        val steps = check.steps.mapIndexed { i, step -> "  step ${i + 1}: ${step.joinToString()}" }
+        val budgets = check.budgets.map { "  ${budgetOf(it)}" }
+        val stop = "stopped by: ${check.stoppedBy ?: "nothing"}"
+        return (listOf(head) + steps + budgets + stop).joinToString("\n")
+    }
+
+    /** What is wrong, by the body of an answer. */
+    fun error(body: String): String =
+        try {
+            val error = operatorJson.decodeFromString(DrainError.serializer(), body)
+            val state = error.state?.let { ": ${it.name.lowercase()}" }.orEmpty()
+            error.error + state
+        } catch (e: SerializationException) {
+            body.ifEmpty { "refused without a reason" }
+        }
+
+    private fun stateOf(record: DrainRecord): String {
+        val reason = record.reason?.let { " (${it.name.lowercase()})" }.orEmpty()
+        val note = record.note.ifEmpty { null }?.let { ": $it" }.orEmpty()
+        return record.state.name.lowercase() + reason + note
+    }
+
+    private fun stepOf(step: DrainStep) =
+        "step ${step.number} is ${step.phase.name.lowercase()}: " +
+            "${step.machines.joinToString()}; ${step.moved.size} tasks on their way"
+
+    private fun budgetOf(budget: BudgetStatus) =
+        "team ${budget.team}: ${budget.disrupted} of ${budget.limit} workers disrupted"
+
+    private fun timeOf(micros: Long) = MaintenanceWindows.instantOf(Micros(micros)).toString()
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/drain/LeaderDrains.kt
@@ -0,0 +1,116 @@
+package wardmux.drain
+
+import wardmux.CoreContext
+import wardmux.Micros
+import wardmux.app.Facts
+import wardmux.app.OperatorSettings
+import wardmux.cloud.MachineType
+import wardmux.cloud.Provisioner
+import wardmux.dispatch.Cluster
+import wardmux.dispatch.Eligibility
+import wardmux.dispatch.Job
+import wardmux.dispatch.TaskStopper
+import wardmux.fleet.Machine
+import wardmux.lead.Role
+import wardmux.secs
+import wardmux.store.StateStore
+
+/** What a leader's session lends to its drains. */
+class DrainEnvironment(
+    val store: StateStore,
+    val role: Role.Leader,
+    val cluster: Cluster,
+    val eligibility: Eligibility,
+    val stopper: TaskStopper,
+    val provisioner: Provisioner,
+    val facts: Facts,
+    val operators: OperatorSettings,
+    val types: () -> List<MachineType>,
+    /** The leader is sure of its lease and knows what is stored. */
+    val mayDecide: () -> Boolean,
+    val decommission: (Machine, String) -> Unit,
+    val fenced: () -> Unit,
+)
+
+/** The drains of one leader's session, put together. */
+class LeaderDrains(
+    private val context: CoreContext,
+    private val environment: DrainEnvironment,
+    settings: DrainSettings,
+) {
+    private val cluster = environment.cluster
+    private val electedAt = context.now
+    private val store = DrainStore(context, environment.store, environment.role, environment.fenced)
+    private val disruptions = Disruptions(context, cluster, settings, heardWithin())
+    private val executor =
+        StepExecutor(
+            context,
+            cluster,
+            disruptions,
+            SeatFinder(cluster, environment.eligibility),
+            environment.stopper,
+            ::requestReplacement,
+            environment.decommission,
+            ::knowsAllMachines,
+        )
+    private val plans = PlanDesk(context, cluster, disruptions, settings, executor)
+    private val manager =
+        DrainManager(
+            context,
+            store,
+            cluster,
+            disruptions,
+            executor,
+            plans,
+            settings,
+            environment.role.token,
+            ::knowsAllMachines,
+        )
+
+    /** Answers operators. */
+    val desk =
+        DrainDesk(
+            context,
+            store,
+            manager,
+            cluster,
+            disruptions,
+            executor,
+            plans,
+            settings,
+            environment.role.token,
+            environment.facts.zones,
+            environment.types,
+            environment.mayDecide,
+        )
+
+    /** Does what is due. */
+    fun tick() {
+        if (environment.mayDecide()) manager.tick()
+    }
+
+    private fun heardWithin(): Micros =
+        (environment.facts.workers.reportS * environment.operators.quietReports).secs
+
+    /** Lists are late, and one may be older than the one before. */
+    private fun knowsAllMachines(): Boolean {
+        val patience = (environment.facts.cloud.listLagS * LIST_LAGS).secs
+        return environment.provisioner.listed && context.now - electedAt > patience
+    }
+
+    private fun requestReplacement(job: Job) {
+        val jobs = environment.provisioner.jobs
+        if (!jobs.isComing(job) && !isBooting(job)) jobs.rentOne(job, environment.types())
+    }
+
+    private fun isBooting(job: Job) =
+        cluster.machines.values.any {
+            !it.up &&
+                !it.decommissioned &&
+                environment.eligibility.suits(job, it.type, it.zone, it.spot)
+        }
+
+    private companion object {
+        const val LIST_LAGS = 3
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/drain/MaintenanceWindows.kt
@@ -0,0 +1,146 @@
+package wardmux.drain
+
+import de.focus_shift.jollyday.core.HolidayManager
+import de.focus_shift.jollyday.core.ManagerParameters
+import java.time.DateTimeException
+import java.time.Duration
+import java.time.Instant
+import java.time.LocalDate
+import java.time.LocalTime
+import java.time.ZoneId
+import org.dmfs.rfc5545.DateTime
+import org.dmfs.rfc5545.recur.InvalidRecurrenceRuleException
+import org.dmfs.rfc5545.recur.RecurrenceRule
+import org.dmfs.rfc5545.recur.RecurrenceRuleIterator
+import wardmux.Micros
+
+/** One opening of a window. */
+data class WindowOpening(val from: Instant, val until: Instant)
+
+/**
+ * When steps of drains may begin. Days recur by RFC 5545 (lib-recur), public holidays come from
+ * Jollyday. A window opens at a local time of day and lasts for its length in elapsed time: one
+ * that would open in the hour that a change to summer time skips opens at the end of that hour, and
+ * one in the hour that comes twice opens the first time.
+ */
+class MaintenanceWindows(
+    private val zone: ZoneId,
+    holidays: String,
+    private val windows: List<WindowSettings>,
+) {
+    private val holidayManager: HolidayManager? =
+        holidays.ifEmpty { null }?.let { HolidayManager.getInstance(ManagerParameters.create(it)) }
+
+    /** True if something that takes [length] from [at] on ends within one opening. */
+    fun isOpenFor(at: Instant, length: Duration): Boolean =
+        windows.isEmpty() || windows.any { window -> holds(window, at, length) }
+
+    /** The first opening that ends after [at]; null if there is none within two years. */
+    fun next(at: Instant): WindowOpening? =
+        windows.mapNotNull { nextOf(it, at) }.minByOrNull { it.from }
+
+    private fun holds(window: WindowSettings, at: Instant, length: Duration) =
+        openings(window, at).takeWhile { it.from <= at }.any { at + length <= it.until }
+
+    private fun nextOf(window: WindowSettings, at: Instant) = openings(window, at).firstOrNull()
+
+    /** Those that end after [at], in their order. */
+    private fun openings(window: WindowSettings, at: Instant): Sequence<WindowOpening> {
+        val length = Duration.ofMillis((window.lengthS * MILLIS_PER_SECOND).toLong())
+        val first = at.atZone(zone).toLocalDate().minusDays(length.toDays() + 1)
+        val opens = LocalTime.parse(window.opens)
+        return days(window, first)
+            .filter { holidayManager?.isHoliday(it) != true }
+            .map { it.atTime(opens).atZone(zone).toInstant() }
+            .map { WindowOpening(it, it + length) }
+            .filter { it.until > at }
+    }
+
+    private fun days(window: WindowSettings, first: LocalDate): Sequence<LocalDate> {
+        val begin = LocalDate.parse(window.from)
+        val last = maxOf(first, begin).plusYears(YEARS_LOOKED_AT)
+        val days = iterator(window, begin, first) ?: return emptySequence()
+        return generateSequence { nextDay(days) }.takeWhile { it <= last }
+    }
+
+    /** Null for a rule that holds on no day: lib-recur gives up on it in its own time. */
+    private fun iterator(window: WindowSettings, begin: LocalDate, first: LocalDate) =
+        try {
+            RecurrenceRule(window.rule).iterator(dateOf(begin)).also {
+                if (first > begin) it.fastForward(dateOf(first))
+            }
+        } catch (e: IllegalArgumentException) {
+            null
+        }
+
+    private fun nextDay(days: RecurrenceRuleIterator): LocalDate? =
+        try {
+            if (!days.hasNext()) null
+            else days.nextDateTime().let { LocalDate.of(it.year, it.month + 1, it.dayOfMonth) }
+        } catch (e: IllegalArgumentException) {
+            null
+        }
+
+    /** Months of lib-recur count from 0. */
+    private fun dateOf(day: LocalDate) = DateTime(day.year, day.monthValue - 1, day.dayOfMonth)
+
+    companion object {
+        private const val YEARS_LOOKED_AT = 2L
+        private const val MILLIS_PER_SECOND = 1_000.0
+        private const val LONGEST_WINDOW_S = 7 * 86_400.0
+        private const val MICROS_PER_SECOND = 1_000_000L
+        private const val NANOS_PER_MICRO = 1_000L
+
+        /** A time of day of the core as an instant. */
+        fun instantOf(wall: Micros): Instant =
+            Instant.ofEpochSecond(
+                Math.floorDiv(wall.value, MICROS_PER_SECOND),
+                Math.floorMod(wall.value, MICROS_PER_SECOND) * NANOS_PER_MICRO,
+            )
+
+        /** What is wrong, in one line that begins with the field, or null. */
+        fun problem(timeZone: String, holidays: String, windows: List<WindowSettings>): String? {
+            val zone =
+                DrainSettings.zoneOf(timeZone) ?: return "time_zone: no such time zone: $timeZone"
+            if (holidays.isNotEmpty() && !isCalendar(holidays))
+                return "holidays: no such calendar: $holidays"
+            return windows.firstNotNullOfOrNull { problem(zone, holidays, it) }
+        }
+
+        private fun isCalendar(name: String) =
+            HolidayManager.getSupportedCalendarCodes().any { it.equals(name, ignoreCase = true) }
+
+        private fun problem(zone: ZoneId, holidays: String, window: WindowSettings): String? =
+            formProblem(window)
+                ?: if (opensEver(zone, holidays, window)) null
+                else "windows.rule: never opens: ${window.rule}"
+
+        private fun formProblem(window: WindowSettings): String? =
+            when {
+                !isReadable { RecurrenceRule(window.rule) } ->
+                    "windows.rule: no recurrence rule: ${window.rule}"
+                !isReadable { LocalTime.parse(window.opens) } ->
+                    "windows.opens: no time of day: ${window.opens}"
+                !isReadable { LocalDate.parse(window.from) } ->
+                    "windows.from: no date: ${window.from}"
+                window.lengthS !in 1.0..LONGEST_WINDOW_S ->
+                    "windows.length_s must be from 1 to $LONGEST_WINDOW_S"
+                else -> null
+            }
+
+        private fun opensEver(zone: ZoneId, holidays: String, window: WindowSettings): Boolean {
+            val begin = LocalDate.parse(window.from).atStartOfDay(zone).toInstant()
+            return MaintenanceWindows(zone, holidays, listOf(window)).next(begin) != null
+        }
+
+        private fun isReadable(read: () -> Any): Boolean =
+            try {
+                read()
+                true
+            } catch (e: InvalidRecurrenceRuleException) {
+                false
+            } catch (e: DateTimeException) {
+                false
+            }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/drain/OperatorClient.kt
@@ -0,0 +1,66 @@
+package wardmux.drain
+
+import io.netty.channel.nio.NioEventLoopGroup
+import java.net.InetSocketAddress
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import wardmux.HttpStatus
+import wardmux.Micros
+import wardmux.Outcome
+import wardmux.http.HttpClient
+import wardmux.millis
+import wardmux.secs
+
+/** What came of asking the controllers. */
+sealed interface OperatorReply {
+    /** A controller gave a final answer. */
+    class Answered(val status: Int, val body: String) : OperatorReply
+
+    /** No final answer in time; [mayHaveHappened] if a request went out and stayed unanswered. */
+    class TimedOut(val mayHaveHappened: Boolean) : OperatorReply
+}
+
+/**
+ * Asks one controller after the other until one gives a final answer or the time is over. Every
+ * request can be repeated: a start of the same id is the same drain.
+ */
+class OperatorClient(private val addresses: List<InetSocketAddress>, private val timeout: Micros) :
+    AutoCloseable {
+    private val group = NioEventLoopGroup(1)
+    private val clients = addresses.map { HttpClient(group, it, 1, MAX_BYTES, keep = false) }
+
+    /** Sends a request until it is answered otherwise than by 503, for as long as there is time. */
+    fun ask(method: String, path: String, body: String): OperatorReply {
+        val deadline = System.nanoTime() + timeout.value * NANOS_PER_MICRO
+        var mayHaveHappened = false
+        var next = 0
+        while (System.nanoTime() < deadline) {
+            val outcome = askOnce(clients[next++ % clients.size], method, path, body)
+            if (outcome is Outcome.Unknown) mayHaveHappened = true
+            if (outcome is Outcome.Response && outcome.status != HttpStatus.SERVICE_UNAVAILABLE)
+                return OperatorReply.Answered(outcome.status, outcome.text)
+            Thread.sleep(PAUSE_MILLIS)
+        }
+        return OperatorReply.TimedOut(mayHaveHappened)
+    }
+
+    private fun askOnce(client: HttpClient, method: String, path: String, body: String): Outcome {
+        val answer = CompletableFuture<Outcome>()
+        group.next().execute {
+            client.send(method, path, body.encodeToByteArray(), ONE_REQUEST, answer::complete)
+        }
+        return answer.get(ONE_REQUEST.value + SLACK.value, TimeUnit.MICROSECONDS)
+    }
+
+    override fun close() {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS)
+    }
+
+    private companion object {
+        const val MAX_BYTES = 16 * 1024 * 1024
+        const val NANOS_PER_MICRO = 1_000L
+        const val PAUSE_MILLIS = 200L
+        val ONE_REQUEST = 5.secs
+        val SLACK = 500.millis
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/drain/SolverPlanner.kt
@@ -0,0 +1,85 @@
+package wardmux.drain
+
+import org.chocosolver.solver.Model
+import org.chocosolver.solver.search.strategy.Search as ChocoSearch
+import org.chocosolver.solver.variables.IntVar
+import wardmux.Micros
+
+/**
+ * Finds a plan with the fewest steps by constraint programming (Choco): each machine gets the
+ * number of its step, and each limit is a bin packing over the steps. It begins from the greedy
+ * plan, only looks for better ones, and gives the best found when its time or its nodes are over.
+ */
+object SolverPlanner {
+    /** The best plan found within [limit]; never worse than the greedy one. */
+    fun plan(problem: DrainProblem, limit: Micros, nodes: Long = MOST_NODES): DrainPlan {
+        val greedy = GreedyPlanner.plan(problem)
+        val free = problem.machines.filterNot { problem.goesAlone(it) }
+        val alone = problem.machines.filter { problem.goesAlone(it) }.map { listOf(it) }
+        val most = greedy.steps.size - alone.size
+        if (free.size > MOST_MACHINES || most <= 1) return greedy
+        val solved = Search(problem, free, most).run(limit, nodes)
+        val plan = DrainPlan(GreedyPlanner.inOrder(problem, solved.steps + alone), solved.isOptimal)
+        val isSound = solved.steps.isNotEmpty() && plan.steps.all { problem.allows(it) }
+        return if (isSound && plan.measure < greedy.measure) plan
+        else DrainPlan(greedy.steps, solved.isOptimal)
+    }
+
+    private class Search(
+        private val problem: DrainProblem,
+        private val machines: List<MachineLoad>,
+        private val mostSteps: Int,
+    ) {
+        private val model = Model("drain")
+        private val stepOf: Array<IntVar> =
+            Array(machines.size) { model.intVar("step$it", 0, mostSteps - 1) }
+        private val lastStep = model.intVar("last", 0, mostSteps - 1)
+
+        fun run(limit: Micros, nodes: Long): DrainPlan {
+            limitBins(machines.map { 1 }, problem.stepSize)
+            for (team in machines.flatMap { it.tasksByTeam.keys }.distinct()) {
+                val counts = machines.map { it.tasksByTeam[team] ?: 0 }
+                limitBins(counts, DrainProblem.limit(problem.teamLimits, team))
+            }
+            for (service in machines.flatMap { it.replicasByService.keys }.distinct()) {
+                val counts = machines.map { it.replicasByService[service] ?: 0 }
+                limitBins(counts, DrainProblem.limit(problem.serviceLimits, service))
+            }
+            if (problem.order == StepOrder.BY_ZONE) separateZones()
+            model.max(lastStep, stepOf).post()
+            return search(limit, nodes)
+        }
+
+        /** The sum of [counts] in each step is at most [limit]. */
+        private fun limitBins(counts: List<Int>, limit: Int) {
+            val most = minOf(limit, counts.sum())
+            if (most == counts.sum()) return
+            val loads = model.intVarArray(mostSteps, 0, most)
+            model.binPacking(stepOf, counts.toIntArray(), loads, 0).post()
+        }
+
+        private fun separateZones() {
+            for (i in machines.indices) for (j in 0 until i) {
+                if (machines[i].zone != machines[j].zone)
+                    model.arithm(stepOf[i], "!=", stepOf[j]).post()
+            }
+        }
+
+        private fun search(limit: Micros, nodes: Long): DrainPlan {
+            val solver = model.solver
+            solver.setSearch(ChocoSearch.domOverWDegSearch(*stepOf))
+            solver.limitTime(limit.value / MICROS_PER_MILLI)
+            solver.limitNode(nodes)
+            val best = solver.findOptimalSolution(lastStep, false)
+            if (best == null) return DrainPlan(emptyList(), !solver.isStopCriterionMet)
+            val steps = machines.indices.groupBy { best.getIntVal(stepOf[it]) }.toSortedMap()
+            val found = steps.values.map { step -> step.map { machines[it] } }
+            return DrainPlan(found, !solver.isStopCriterionMet)
+        }
+    }
+
+    /** Beyond this a model takes longer to set up than a plan is worth. */
+    private const val MOST_MACHINES = 300
+    private const val MOST_NODES = 200_000L
+    private const val MICROS_PER_MILLI = 1_000L
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/drain/StepExecutor.kt
@@ -0,0 +1,346 @@
+package wardmux.drain
+
+import wardmux.CoreContext
+import wardmux.MachineId
+import wardmux.Micros
+import wardmux.TaskId
+import wardmux.dispatch.Cluster
+import wardmux.dispatch.Job
+import wardmux.dispatch.TaskStopper
+import wardmux.fleet.Machine
+import wardmux.fleet.Placement
+import wardmux.intake.Shape
+import wardmux.intake.Urgency
+import wardmux.secs
+
+/** What comes next for a drain. */
+sealed interface Decision {
+    /** Nothing is to be done but to wait for what the text names. */
+    data class Wait(val text: String) : Decision
+
+    /** The record is to be written, and only then acted on. */
+    data class Write(val record: DrainRecord) : Decision
+
+    /** The drain can't go on for now. */
+    data class Pause(val reason: PauseReason, val text: String) : Decision
+}
+
+/** Asks for a machine that takes a task which has to be moved. */
+fun interface Replacements {
+    /** One that suits the job, unless one is on its way already. */
+    fun request(job: Job)
+}
+
+/**
+ * Takes the machines of one step out: finds room, takes their tasks off them within the budgets,
+ * returns them and waits until what was moved runs again. It keeps nothing by itself: whatever it
+ * does follows from the record and from what the cluster shows, so that any leader can go on.
+ */
+class StepExecutor(
+    private val context: CoreContext,
+    private val cluster: Cluster,
+    private val disruptions: Disruptions,
+    private val seats: SeatFinder,
+    private val stopper: TaskStopper,
+    private val replacements: Replacements,
+    private val decommission: (Machine, String) -> Unit,
+    /** A machine that is not known is gone; false as long as it may only not be listed yet. */
+    private val knowsAllMachines: () -> Boolean,
+) {
+    /** What to do next for the step of [record]. */
+    fun decide(record: DrainRecord, step: DrainStep): Decision =
+        when (step.phase) {
+            StepPhase.PREPARING -> prepare(record, step)
+            StepPhase.EMPTYING -> empty(record, step)
+            StepPhase.SETTLING -> settle(record, step)
+        }
+
+    /** Tasks on the machine that will not end by themselves within the grace period. */
+    fun tasksToMove(machine: Machine, request: DrainRequest): List<Placement> =
+        machine.placements.values.filter {
+            !it.job.over && (isService(it) || remaining(it) > request.graceS.secs)
+        }
+
+    /** An urgent job that waits for room on one of the machines: it goes first. */
+    fun urgentWaiting(machines: List<Machine>): Job? =
+        cluster.jobs.values.firstOrNull { job ->
+            val since = job.blockedSince
+            job.spec.urgency <= Urgency.HIGH &&
+                job.waiting > 0 &&
+                !job.atFault &&
+                since != null &&
+                context.now - since > URGENT_PATIENCE &&
+                machines.any { couldTake(it, job) }
+        }
+
+    private fun couldTake(machine: Machine, job: Job): Boolean {
+        val spec = job.spec
+        return !machine.decommissioned &&
+            machine.type.allowedFor(spec) &&
+            (spec.spot || !machine.spot) &&
+            (spec.zone == null || spec.zone == machine.zone)
+    }
+
+    private fun prepare(record: DrainRecord, step: DrainStep): Decision {
+        val machines = present(step)
+        urgentWaiting(machines)?.let {
+            return yieldTo(it)
+        }
+        val moving = machines.flatMap { tasksToMove(it, record.request) }
+        val unseated = seats.unseated(moving)
+        if (unseated.isEmpty()) return emptying(record, step)
+        val since = context.wall.value - step.beganAt
+        if (since >= patience(machines)) return smaller(record, step, machines)
+        return waitForRoom(unseated)
+    }
+
+    /** A replacement is up by then, if one is to be had and comes up as a rule. */
+    private fun patience(machines: List<Machine>): Long =
+        ((machines.maxOfOrNull { it.type.bootS } ?: 0.0).secs * BOOTS_WAITED).value +
+            ROOM_PATIENCE.value
+
+    /**
+     * The room is not to be had: the step is made as small as there is room for, and where not even
+     * one machine has it, another machine is chosen.
+     */
+    private fun smaller(record: DrainRecord, step: DrainStep, machines: List<Machine>): Decision {
+        val kept = ArrayList<Machine>()
+        for (machine in machines.sortedBy { it.load }) {
+            if (hasRoom(kept + machine, machines, record.request)) kept.add(machine)
+        }
+        if (kept.isEmpty()) return Decision.Write(record.copy(step = null))
+        val smaller = step.copy(machines = kept.map { it.id.value })
+        return emptying(record, smaller)
+    }
+
+    private fun hasRoom(
+        leaving: List<Machine>,
+        all: List<Machine>,
+        request: DrainRequest,
+    ): Boolean {
+        val moving = leaving.flatMap { tasksToMove(it, request) }
+        return seats.unseated(moving, leaving.toSet(), staying = all.toSet()).isEmpty()
+    }
+
+    /** What there is no room for now, so that machines would be rented, or null. */
+    fun roomMissing(moving: List<Placement>, leaving: Set<Machine>): String? {
+        val unseated = seats.unseated(moving, leaving)
+        return if (unseated.isEmpty()) null
+        else "no room yet for ${unseated.size} of ${moving.size} tasks; it is rented first"
+    }
+
+    private fun emptying(record: DrainRecord, step: DrainStep): Decision {
+        val now = context.wall.value
+        val next = step.copy(phase = StepPhase.EMPTYING, emptyingSince = now)
+        return Decision.Write(record.copy(step = next))
+    }
+
+    private fun waitForRoom(unseated: List<Placement>): Decision {
+        replacements.request(unseated.first().job)
+        return Decision.Wait(
+            "room for ${unseated.size} tasks, first ${unseated.first().name}, is not up yet"
+        )
+    }
+
+    private fun yieldTo(job: Job) =
+        Decision.Wait("urgent ${job.id} of ${job.spec.team} waits for room and goes first")
+
+    private fun empty(record: DrainRecord, step: DrainStep): Decision {
+        val machines = present(step)
+        for (machine in machines) if (isEmpty(machine)) decommission(machine, DRAINED)
+        if (machines.isEmpty()) return settling(record, step)
+        val open = machines.filter { !it.decommissioned }
+        if (open.isEmpty()) return Decision.Wait("${machines.size} machines are being returned")
+        urgentWaiting(open)?.let {
+            return yieldTo(it)
+        }
+        stopIntended(step)
+        return stopMore(record, step, open)
+    }
+
+    private fun settling(record: DrainRecord, step: DrainStep): Decision {
+        if (!knowsAllMachines()) return Decision.Wait("the list of machines")
+        return Decision.Write(record.copy(step = step.copy(phase = StepPhase.SETTLING)))
+    }
+
+    /** Decides which tasks are stopped next, and has that recorded first. */
+    private fun stopMore(record: DrainRecord, step: DrainStep, open: List<Machine>): Decision {
+        val graceOver = context.wall.value - step.emptyingSince >= record.request.graceS.secs.value
+        val candidates =
+            open
+                .filter { it.confirmed }
+                .flatMap { it.placements.values }
+                .filter {
+                    isStoppable(it) && (isService(it) || graceOver) && it.name !in step.moved
+                }
+        val choice = choose(candidates)
+        if (choice.chosen.isEmpty()) return whyNone(step, choice, open)
+        val onTheirWay = open.flatMap { it.placements.values }.filter { it.name in step.moved }
+        val unseated = seats.unseated(onTheirWay + choice.chosen).toSet()
+        val moved = choice.chosen.filter { it !in unseated }
+        if (moved.isEmpty()) return waitForRoom(unseated.toList())
+        val names = (stillMoving(step) + moved.map { it.name }).distinct()
+        val next = step.copy(moved = names)
+        return Decision.Write(record.copy(step = next, moved = record.moved + moved.size))
+    }
+
+    private class Choice(val chosen: List<Placement>, val refusal: BudgetRefusal?, val team: String)
+
+    /** As many as the budgets allow, those with least to lose first. */
+    private fun choose(candidates: List<Placement>): Choice {
+        val chosen = ArrayList<Placement>()
+        val byTeam = HashMap<String, Int>()
+        var refusal: BudgetRefusal? = null
+        var refusedTeam = ""
+        for (candidate in candidates.sortedBy { lost(it).value }) {
+            if (chosen.size >= MOST_AT_ONCE) break
+            val team = candidate.job.spec.team
+            val units = units(candidate)
+            val isSingle = byTeam.containsKey(team) && chosen.any { it.job === candidate.job }
+            if (candidate.job.spec.isGang && isSingle) continue
+            val refused = refusalBeside(candidate, units, chosen, byTeam[team] ?: 0)
+            if (refused != null) {
+                // What ends by itself is waited for, whatever its budget.
+                if (refusal == null || isService(candidate)) {
+                    refusal = refused
+                    refusedTeam = team
+                }
+                continue
+            }
+            chosen.add(candidate)
+            byTeam.merge(team, units, Int::plus)
+        }
+        return Choice(chosen, refusal, refusedTeam)
+    }
+
+    /** Whether the budgets have room for it beside what is [chosen] already. */
+    private fun refusalBeside(
+        candidate: Placement,
+        units: Int,
+        chosen: List<Placement>,
+        ofTeam: Int,
+    ): BudgetRefusal? {
+        val alone = disruptions.refusal(candidate.job, units)
+        if (alone != null || ofTeam == 0) return alone
+        val team = candidate.job.spec.team
+        if (disruptions.lostOf(team) + ofTeam + units > disruptions.limitOf(team))
+            return BudgetRefusal.NotNow("team $team: its budget is in use")
+        val ofJob = chosen.count { it.job === candidate.job }
+        if (!isService(candidate) || ofJob == 0) return null
+        return disruptions.refusal(candidate.job, ofJob + units)
+    }
+
+    private fun whyNone(step: DrainStep, choice: Choice, open: List<Machine>): Decision {
+        val refusal = choice.refusal
+        val left = open.sumOf { it.placements.size }
+        if (refusal == null) return Decision.Wait("$left tasks end, save or move")
+        val isService = open.any { machine -> machine.placements.values.any { isService(it) } }
+        if (refusal is BudgetRefusal.Never)
+            return if (isService) Decision.Pause(PauseReason.BUDGET, refusal.text)
+            else Decision.Wait("$left tasks end by themselves: ${refusal.text}")
+        val own = stillMoving(step).count { teamOf(it) == choice.team }
+        return if (disruptions.lostOf(choice.team) > own)
+            Decision.Pause(PauseReason.LOSS, refusal.text)
+        else Decision.Wait(refusal.text)
+    }
+
+    /** Stops what the record names, as far as the budgets still have room at this moment. */
+    fun stopIntended(step: DrainStep) {
+        for (machine in present(step)) {
+            if (machine.decommissioned || !machine.confirmed) continue
+            for (placement in machine.placements.values.toList()) {
+                if (placement.name !in step.moved || !isStoppable(placement)) continue
+                stop(placement)
+            }
+        }
+    }
+
+    private fun stop(placement: Placement) {
+        val units = unitsOf(placement)
+        // What counts as disrupted already takes nothing more of the budget.
+        val more = units.count { !disruptions.isLost(it) }
+        if (more > 0 && disruptions.refusal(placement.job, more) != null) return
+        // Counted first: once the halt is in force they no longer count as up.
+        for (unit in units) disruptions.stopped(unit)
+        stopper.stop(placement, DRAINED)
+    }
+
+    /** A gang is stopped as one. */
+    private fun unitsOf(placement: Placement): List<Placement> =
+        if (placement.job.spec.isGang) placement.job.placements.values.toList()
+        else listOf(placement)
+
+    private fun units(placement: Placement) = unitsOf(placement).size
+
+    private fun settle(record: DrainRecord, step: DrainStep): Decision {
+        val moving = stillMoving(step)
+        if (moving.isNotEmpty())
+            return Decision.Wait(
+                "${moving.size} moved tasks do not run again yet: ${moving.first()}"
+            )
+        val now = context.wall.value
+        return Decision.Write(
+            record.copy(
+                step = null,
+                stepsDone = record.stepsDone + 1,
+                returned = record.returned + step.machines.size,
+                stepEndedAt = now,
+                lastStep = now - step.beganAt,
+            )
+        )
+    }
+
+    /** Machines of the step that are not gone. */
+    fun present(step: DrainStep): List<Machine> =
+        step.machines.mapNotNull { cluster.machines[MachineId(it)] }
+
+    /** Tasks that were moved and neither run elsewhere nor are over. */
+    fun stillMoving(step: DrainStep): List<String> =
+        step.moved.filter { name ->
+            val task = TaskId.parse(name) ?: return@filter false
+            val job = cluster.jobs[task.job] ?: return@filter false
+            if (job.over || job.isDone(task.index)) return@filter false
+            val placement = job.placements.get(task.index) ?: return@filter true
+            placement.machine.value in step.machines || !disruptions.isUp(placement)
+        }
+
+    /** The team of the task that is named so, if its job is known. */
+    fun teamOf(name: String): String? = TaskId.parse(name)?.let { cluster.jobs[it.job]?.spec?.team }
+
+    /**
+     * Nothing is recorded there, nothing was reported, and no start is on its way. How its last
+     * tasks ended is recorded within a few seconds; until then it keeps that.
+     */
+    private fun isEmpty(machine: Machine) =
+        machine.empty &&
+            machine.loose.isEmpty() &&
+            !machine.directBusy &&
+            context.now - machine.idleSince > ENDS_RECORDED
+
+    private fun isStoppable(placement: Placement) =
+        placement.committed && placement.status != null && !placement.halting && !placement.job.over
+
+    private fun isService(placement: Placement) = placement.job.spec.shape == Shape.DAEMON
+
+    private fun remaining(placement: Placement): Micros {
+        val whole = cluster.estimates.runTime(placement.job.spec)
+        val since = placement.runningSince ?: return whole
+        return whole - (context.now - since)
+    }
+
+    /** Run time that stopping it throws away. */
+    private fun lost(placement: Placement): Micros {
+        val since = placement.runningSince ?: return Micros.ZERO
+        val spec = placement.job.spec
+        return if (spec.savable || isService(placement)) spec.saveS.secs else context.now - since
+    }
+
+    private companion object {
+        const val DRAINED = "its machine is drained"
+        const val MOST_AT_ONCE = 64
+        val URGENT_PATIENCE = 1.secs
+        const val BOOTS_WAITED = 3.0
+        val ROOM_PATIENCE = 30.secs
+        val ENDS_RECORDED = 5.secs
+    }
+}
--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -12,7 +12,6 @@
 import wardmux.app.WorkerFacts
 import wardmux.cloud.MachineTypeCatalog
 import wardmux.dispatch.Cluster
-import wardmux.dispatch.Job
 import wardmux.dispatch.TaskStopper
 import wardmux.logger
 import wardmux.secs
@@ -45,6 +44,7 @@
     private val mostDirect: Int,
 ) {
     private val log = logger<Fleet>()
+    private val failures = TaskFailures(context, decommission)
 
     /** Machines whose deletion was confirmed; what they still send is late. */
     val gone = HashSet<MachineId>()
@@ -260,6 +260,7 @@
             log.debug("{} runs on {}", placement.task, machine.id)
         }
         placement.status = status
+        failures.runs(machine, placement)
         val spec = placement.job.spec
         if (status != TaskStatus.FETCHING) machine.imageReady(spec.image, spec.imageGb, context.now)
         if (machine.recalledAt != null && !placement.halting && placement.job.spec.savable) {
@@ -280,13 +281,12 @@
         if (reported.cause != "done" && !job.complete) cluster.breakAttempt(job)
         when (reported.cause) {
             "done" -> {
-                machine.failures.clear()
-                job.failedOn.clear()
+                failures.completed(machine, job)
                 cluster.complete(placement)
             }
             "error" -> {
                 cluster.release(placement, "failed")
-                failed(machine, job)
+                failures.failed(machine, job)
             }
             "stopped" -> cluster.release(placement, "stopped")
             // Another task of its gang is gone or was not there in time; nothing is at fault here.
@@ -301,21 +301,6 @@
         }
     }
 
-    /** Either the machine or the job is at fault; other jobs and other machines tell which. */
-    private fun failed(machine: Machine, job: Job) {
-        machine.failures.merge(job.id.value, 1, Int::plus)
-        job.failedOn.add(machine.id)
-        machine.pausedUntil = context.now + FAILED_PAUSE
-        val own = machine.failures.values.sum()
-        log.info("a task of {} failed on {}, {} in a row there", job.id, machine.id, own)
-        if (job.atFault) {
-            val pause = FAILED_PAUSE * job.failedOn.size.coerceAtMost(12).toDouble()
-            job.notBefore = context.wall + pause
-        }
-        val blameless = !job.atFault && own >= SICK_FAILURES
-        if (machine.failures.size >= 2 || blameless) decommission(machine, "tasks fail on it")
-    }
-
     /** The result is kept on the machine, so a completed task counts wherever it is found. */
     private fun endedUnplaced(task: TaskId, reported: ReportedTask) {
         val job = cluster.jobs[task.job] ?: return
@@ -539,8 +524,6 @@
         private const val MAX_DIRECT = 300
         private val REFUSED_PAUSE = 1.secs
         private val UNKNOWN_PAUSE = 3.secs
-        private val FAILED_PAUSE = 8.secs
-        private const val SICK_FAILURES = 3
         private const val MAX_ORDERS = 400
         private const val KEPT_LEASES = 10.0
         private val SEND_ON_AFTER = 2.secs
--- a/src/main/kotlin/wardmux/fleet/Machine.kt
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -7,6 +7,20 @@
 import wardmux.intake.Shape
 import wardmux.secs
 
+/** What a drain makes of a machine. */
+enum class Maintenance {
+    NONE,
+
+    /** It takes tasks, but its room is to be found elsewhere. */
+    LEAVING,
+
+    /** It takes no tasks. */
+    CORDONED,
+
+    /** It takes urgent tasks only, since these wait for room. */
+    YIELDING,
+}
+
 /** A machine as the leader knows it. */
 class Machine(val id: MachineId, val type: MachineType, val zone: String, val spot: Boolean) {
     var shift = 0L
@@ -97,6 +111,22 @@
 
     /** It gets no new tasks, so that it can be returned once it is empty. */
     var draining = false
+
+    /** What a drain that operators asked for makes of it. */
+    var maintenance = Maintenance.NONE
+
+    /**
+     * It was rented at this time of day or before, by the lists of the cloud; null until it is
+     * listed.
+     */
+    var rentedBefore: Micros? = null
+        private set
+
+    /** It is listed as [age] old at [wall]; lists are late, so the smallest time is the nearest. */
+    fun listed(wall: Micros, age: Micros) {
+        rentedBefore = minOf(rentedBefore ?: Micros.NEVER, wall - age)
+    }
+
     var decommissionReason = ""
     var deleting = false
 
@@ -153,24 +183,26 @@
     val freeCpus: Double
         get() = type.cpus - usedCpus - orphanCpus
 
+    val freeGpus: Double
+        get() = type.gpus - usedGpus - orphanGpus
+
+    val freeMemoryGb: Double
+        get() = type.memoryGb - usedMemory - orphanMemory
+
     fun fits(spec: JobSpec): Boolean {
         val slack = MachineType.EPSILON
         return spec.cpus <= freeCpus + slack &&
-            spec.gpus <= type.gpus - usedGpus - orphanGpus + slack &&
-            spec.memoryGb <= type.memoryGb - usedMemory - orphanMemory + slack
+            spec.gpus <= freeGpus + slack &&
+            spec.memoryGb <= freeMemoryGb + slack
     }
 
     /** How many tasks like this it has room for now. */
     fun roomFor(spec: JobSpec): Int {
         val slack = MachineType.EPSILON
         val byCpu = if (spec.cpus > 0) (freeCpus + slack) / spec.cpus else Double.MAX_VALUE
-        val byGpu =
-            if (spec.gpus > 0) (type.gpus - usedGpus - orphanGpus + slack) / spec.gpus
-            else Double.MAX_VALUE
+        val byGpu = if (spec.gpus > 0) (freeGpus + slack) / spec.gpus else Double.MAX_VALUE
         val byMemory =
-            if (spec.memoryGb > 0) {
-                (type.memoryGb - usedMemory - orphanMemory + slack) / spec.memoryGb
-            } else Double.MAX_VALUE
+            if (spec.memoryGb > 0) (freeMemoryGb + slack) / spec.memoryGb else Double.MAX_VALUE
         return minOf(byCpu, byGpu, byMemory).coerceIn(0.0, 10_000.0).toInt()
     }
 
--- a/src/main/kotlin/wardmux/http/HttpServer.kt
+++ b/src/main/kotlin/wardmux/http/HttpServer.kt
@@ -91,7 +91,7 @@
             .channel()
 
     /** What the controllers tell each other is not bound by PROTOCOL. */
-    private fun maxBody(port: Port) = if (port == Port.API) MAX_BODY_BYTES else MAX_PEER_BYTES
+    private fun maxBody(port: Port) = if (port == Port.PEER) MAX_PEER_BYTES else MAX_BODY_BYTES
 
     /** Answers a request once; without effect if its connection is gone. */
     fun answer(id: Long, status: Int, body: ByteArray, retryAfterS: Int?) {
--- a/src/main/kotlin/wardmux/intake/Intake.kt
+++ b/src/main/kotlin/wardmux/intake/Intake.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import wardmux.CoreContext
+import wardmux.HttpStatus
 import wardmux.JobId
 import wardmux.Stamp
 import wardmux.app.TeamFacts
@@ -155,7 +156,7 @@
                         spec.cpus,
                         spec.team,
                     )
-                    answerState(call, 201, id, JobState.ACCEPTED)
+                    answerState(call, HttpStatus.CREATED, id, JobState.ACCEPTED)
                 }
                 is Result.Conflict -> settle(call, id) { later(call) }
                 // Perhaps written: read before anything is said.
--- a/src/main/kotlin/wardmux/lead/LeaderSession.kt
+++ b/src/main/kotlin/wardmux/lead/LeaderSession.kt
@@ -23,17 +23,15 @@
 import wardmux.dispatch.Preemption
 import wardmux.dispatch.StoredPage
 import wardmux.dispatch.TaskStopper
+import wardmux.drain.DrainEnvironment
+import wardmux.drain.LeaderDrains
 import wardmux.fleet.Fleet
 import wardmux.fleet.FleetHealth
 import wardmux.fleet.Machine
 import wardmux.fleet.Report
 import wardmux.fleet.ReportReader
 import wardmux.intake.JobRecord
-import wardmux.intake.JobSpec
 import wardmux.intake.JobState
-import wardmux.intake.Shape
-import wardmux.intake.SubmissionReader
-import wardmux.intake.Urgency
 import wardmux.logger
 import wardmux.millis
 import wardmux.peers.Cancellations
@@ -160,6 +158,9 @@
             ::decommission,
             placementStore::dropDecommissionRecord,
         )
+    /** Drains that operators asked for; null where these are switched off. */
+    val drains: LeaderDrains? =
+        operators.drain?.let { LeaderDrains(context, drainEnvironment(), it) }
     private var loaded = false
 
     /** When to look next whether another could lead better; not before a lease has passed. */
@@ -186,6 +187,22 @@
     private var planAnywayAt = Micros.LONG_AGO
     private var nextPlanAt = Micros.LONG_AGO
 
+    private fun drainEnvironment() =
+        DrainEnvironment(
+            store,
+            role,
+            cluster,
+            planner.eligibility,
+            stopper,
+            provisioner,
+            facts,
+            operators,
+            { types.types.orEmpty() },
+            { loaded && !over && leadership.leaseIsValid },
+            ::decommission,
+            leadership::fenced,
+        )
+
     private fun rentalOrders(cloud: CloudClient) =
         RentalOrders(
             context,
@@ -264,6 +281,7 @@
             }
         }
         provisioner.tick(leadership.leaseIsValid)
+        drains?.tick()
         if (leadership.leaseIsValid && context.now >= nextPreemptionAt) {
             nextPreemptionAt = context.now + PREEMPTION_PERIOD
             preemption.preempt()
@@ -365,7 +383,7 @@
         val id = JobId(item.key.removePrefix(Job.PAGES).substringBefore('/'))
         val page = item.key.substringAfterLast('/').toIntOrNull() ?: return
         // Nothing of a done job is on a machine; its pages are only to be removed.
-        val job = cluster.jobs.getOrPut(id) { doneJob(id) }
+        val job = cluster.jobs.getOrPut(id) { FinishedJobs.of(id, pageSize) }
         val placed = job.load(page, item.stamp, item.data)
         if (job.finished) return job.placements.clear()
         for (placement in placed) cluster.restore(placement, cluster.machines[placement.machine])
@@ -465,36 +483,6 @@
         placementStore.decommission(machine)
     }
 
-    private fun doneJob(id: JobId): Job {
-        val job = Job(doneSpec(id), Stamp.ABSENT, Micros.ZERO, pageSize)
-        job.over = true
-        job.finished = true
-        return job
-    }
-
-    private fun doneSpec(id: JobId) =
-        JobSpec(
-            id.value,
-            "",
-            "",
-            Shape.BATCH,
-            Urgency.IDLE,
-            SubmissionReader.MAX_TASKS,
-            0.0,
-            0.0,
-            0.0,
-            "",
-            0.0,
-            null,
-            null,
-            oneZone = false,
-            spread = false,
-            spot = false,
-            estimateS = 0.0,
-            checkpointS = 0.0,
-            saveS = 0.0,
-        )
-
     private companion object {
         val LOAD_RETRY = 300.millis
         /** Short, as what is known counts from when the watch began. */
--- a/src/test/kotlin/wardmux/app/SettingsTest.kt
+++ b/src/test/kotlin/wardmux/app/SettingsTest.kt
@@ -5,8 +5,10 @@
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
 import kotlin.test.assertFailsWith
+import kotlin.test.assertNotNull
 import kotlin.test.assertNull
 import org.junit.jupiter.api.io.TempDir
+import wardmux.drain.BudgetSettings
 
 class SettingsTest {
     @TempDir lateinit var dir: File
@@ -108,4 +110,68 @@
         val unknown = assertFailsWith<BadSettings> { SettingsFiles.operators(file("nrom_s = 5.0")) }
         assertContains(unknown.message.orEmpty(), "nrom_s")
     }
+
+    private fun operators(text: String) = SettingsFiles.operators(file(text))
+
+    private fun operatorsRefused(text: String): String {
+        val message = assertFailsWith<BadSettings> { operators(text) }.message.orEmpty()
+        assertEquals(1, message.lines().size)
+        return message
+    }
+
+    @Test
+    fun `drains are off without a section, and on with the file that deployments take`() {
+        assertNull(operators("norm_s = 300.0").drain)
+        val drain = assertNotNull(SettingsFiles.operators(File("deploy/drain.toml")).drain)
+        assertEquals("127.0.0.1:7070", drain.listener)
+        assertEquals(4, drain.budgetOf("anyone").mostDisrupted)
+    }
+
+    @Test
+    fun `a team's budget takes from the default what it leaves out`() {
+        val drain =
+            assertNotNull(
+                operators(
+                        """
+                        [drain]
+                        [drain.budget]
+                        most_disrupted = 3
+                        least_replicas = 2
+                        [[drain.teams]]
+                        team = "team-1"
+                        most_disrupted = 5
+                        [[drain.windows]]
+                        rule = "FREQ=DAILY"
+                        opens = "22:00"
+                        length_s = 60.0
+                        """
+                            .trimIndent()
+                    )
+                    .drain
+            )
+        assertEquals(BudgetSettings(5, leastReplicas = 2), drain.budgetOf("team-1"))
+        assertEquals(BudgetSettings(3, leastReplicas = 2), drain.budgetOf("team-0"))
+        assertNull(drain.listener)
+        assertNull(drain.unknownTeam(setOf("team-1")))
+        assertContains(drain.unknownTeam(setOf("team-0")).orEmpty(), "drain.teams.team")
+    }
+
+    @Test
+    fun `a wrong setting of drains is named`() {
+        val wrong =
+            mapOf(
+                "drain.address" to "address = \"nowhere\"",
+                "drain.time_zone" to "time_zone = \"Mars/Base\"",
+                "drain.holidays" to "holidays = \"atlantis\"",
+                "drain.solver_share" to "solver_share = 2.0",
+                "drain.budget.most_disrupted" to "[drain.budget]\nmost_disrupted = -1",
+                "drain.budget.least_replicas" to "[drain.budget]\nleast_replicas = -1",
+                "drain.teams.team-0.step_pause_s" to
+                    "[[drain.teams]]\nteam = \"team-0\"\nstep_pause_s = -1.0",
+                "drain.windows.rule" to
+                    "[[drain.windows]]\nrule = \"X\"\nopens = \"22:00\"\nlength_s = 9.0",
+            )
+        for ((field, text) in wrong) assertContains(operatorsRefused("[drain]\n$text"), field)
+        assertContains(operatorsRefused("[drain]\nadress = \":1\""), "adress")
+    }
 }
--- /dev/null
+++ b/src/test/kotlin/wardmux/drain/DrainDay.kt
@@ -0,0 +1,167 @@
+package wardmux.drain
+
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import wardmux.Micros
+import wardmux.app.OperatorSettings
+import wardmux.intake.JobSpec
+import wardmux.intake.Shape
+import wardmux.intake.Urgency
+import wardmux.millis
+import wardmux.secs
+import wardmux.sim.ClusterSimulation
+import wardmux.sim.FakeWorker
+
+/** A simulated day with a drain: services and arrays of three teams on machines of three zones. */
+class DrainDay(
+    seed: Long,
+    val settings: DrainSettings = DrainSettings(budget = BudgetSettings(stepPauseS = 1.0)),
+    capacity: Int = 4,
+) {
+    // Nothing else than the drain moves work: calling back a guarantee is not bound by budgets.
+    val operators = OperatorSettings(drain = settings, callBackAfterS = 3_600.0)
+    val simulation = ClusterSimulation(seed, operators = operators, capacity = capacity)
+    val clock = simulation.clock
+    val losses = simulation.rules.losses
+
+    fun workers(): List<FakeWorker> = simulation.cloud.workers()
+
+    fun at(time: Micros, action: () -> Unit) = clock.after(time - clock.now, action)
+
+    /** A service that may be anywhere. */
+    fun service(team: Int, replicas: Int, cpus: Double = 2.0): JobSpec =
+        simulation
+            .randomJob()
+            .copy(
+                team = "team-$team",
+                shape = Shape.DAEMON,
+                urgency = Urgency.NORMAL,
+                tasks = replicas,
+                cpus = cpus,
+                zone = null,
+                oneZone = false,
+                spread = false,
+                spot = false,
+                estimateS = 0.0,
+                checkpointS = 0.0,
+                saveS = 0.0,
+            )
+
+    /** An array of tasks that run for about [seconds] and save. */
+    fun array(team: Int, tasks: Int, seconds: Double, cpus: Double = 2.0): JobSpec =
+        service(team, tasks, cpus)
+            .copy(
+                shape = Shape.BATCH,
+                spot = true,
+                estimateS = seconds,
+                checkpointS = 5.0,
+                saveS = 2.0,
+            )
+
+    fun submit(spec: JobSpec): JobSpec = spec.also { simulation.submit(it) }
+
+    /** Lets jobs begin; the usual ones, unless others were submitted. */
+    fun begin(vararg specs: JobSpec): DrainDay {
+        val jobs = specs.ifEmpty { arrayOf(service(0, 4), service(1, 3), array(2, 3, 60.0)) }
+        simulation.run(8.secs)
+        for (spec in jobs) simulation.submit(spec)
+        simulation.run(40.secs)
+        return this
+    }
+
+    /** Machines that are up now, of which a drain that starts now takes those it selects. */
+    var drained: List<FakeWorker> = emptyList()
+        private set
+
+    fun ordinary() = DrainSelector(spot = false)
+
+    fun start(
+        request: DrainRequest = DrainRequest("d1", ordinary(), graceS = 10.0),
+        expected: Int = 201,
+    ): DrainDay {
+        drained = workers().filter { request.select.spot == null || it.spot == request.select.spot }
+        val body = operatorJson.encodeToString(DrainRequest.serializer(), request)
+        assertEquals(expected, ask("POST", DrainApi.PATH, body).first)
+        return this
+    }
+
+    /** Asks again as the command line does, until there is a final answer. */
+    fun ask(
+        method: String,
+        path: String,
+        body: String = "",
+        by: String? = null,
+    ): Pair<Int, String> {
+        repeat(60) {
+            val answer = askOnce(method, path, body, by)
+            if (answer != null && answer.first != 503) return answer
+            simulation.run(clock.now + 1.secs)
+        }
+        error("no answer to $method $path")
+    }
+
+    fun askOnce(
+        method: String,
+        path: String,
+        body: String = "",
+        by: String? = null,
+    ): Pair<Int, String>? {
+        var answer: Pair<Int, String>? = null
+        var over = false
+        simulation.operate(method, path, body, by) { status, text ->
+            answer = status?.let { it to text }
+            over = true
+        }
+        while (!over) simulation.run(clock.now + 1.secs)
+        return answer
+    }
+
+    fun status(id: String = "d1", by: String? = null): DrainStatus {
+        val (status, text) = ask("GET", "${DrainApi.PATH}/$id", by = by)
+        assertEquals(200, status, text)
+        return operatorJson.decodeFromString(DrainStatus.serializer(), text)
+    }
+
+    fun state(id: String = "d1"): DrainState = status(id).record.state
+
+    fun steer(verb: String, id: String = "d1"): Int =
+        ask("POST", "${DrainApi.PATH}/$id/$verb").first
+
+    /** What is stored of the drain, whoever leads. */
+    fun stored(id: String = "d1"): DrainRecord? =
+        simulation.state.value(DrainRecord.key(id))?.let {
+            operatorJson.decodeFromJsonElement(DrainRecord.serializer(), it)
+        }
+
+    /** Runs until [reached], for at most [most]. */
+    fun runUntil(most: Micros, what: String, reached: () -> Boolean) {
+        val until = clock.now + most
+        while (!reached()) {
+            assertTrue(clock.now < until, "not within $most: $what; ${stored()}")
+            simulation.run(clock.now + 50.millis)
+        }
+    }
+
+    fun runUntilStep(phase: StepPhase, most: Micros = 300.secs) =
+        runUntil(most, "$phase") { stored()?.step?.phase == phase }
+
+    fun runUntilDone(most: Micros = 900.secs, id: String = "d1") =
+        runUntil(most, "done") { stored(id)?.state == DrainState.DONE }
+
+    /** All that was drained is gone, nothing was lost beyond the budgets, and no rule is broken. */
+    fun check(noticedAfter: Micros = 9.secs) {
+        assertNotNull(stored())
+        assertEquals(emptyList(), drained.filter { it.alive }.map { it.id }, "${stored()}")
+        checkBudgets(noticedAfter)
+    }
+
+    fun checkBudgets(noticedAfter: Micros = 9.secs) {
+        val limit = { team: String -> settings.budgetOf(team).mostDisrupted }
+        assertEquals(emptyList(), losses.beyond(limit, noticedAfter))
+        assertEquals(emptyList(), simulation.problems())
+    }
+
+    /** All replicas run. */
+    fun runs(spec: JobSpec): Boolean = simulation.rules.machinesOf(spec.id).size == spec.tasks
+}
--- /dev/null
+++ b/src/test/kotlin/wardmux/drain/DrainFaultsTest.kt
@@ -0,0 +1,307 @@
+package wardmux.drain
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
+import kotlin.test.assertTrue
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
+import org.junit.jupiter.params.provider.ValueSource
+import wardmux.app.OperatorSettings
+import wardmux.millis
+import wardmux.secs
+
+/** Drains through the failures that they are made for, each brought about on purpose. */
+class DrainFaultsTest {
+    private fun DrainDay.crashLeader() = simulation.leader()?.let { simulation.crash(it, 3.secs) }
+
+    private fun DrainDay.crashAll() {
+        for (node in simulation.nodes) simulation.crash(node, 3.secs)
+    }
+
+    /** Calls [action] as the leader sends its [number]th write of a drain from now. */
+    private fun DrainDay.atDrainWrite(number: Int, action: () -> Unit) {
+        var seen = 0
+        simulation.state.late = { _, transaction ->
+            val writes =
+                transaction["then"]?.jsonArray.orEmpty().mapNotNull {
+                    it.jsonObject["put"]?.jsonPrimitive?.content
+                }
+            if (writes.any { it.startsWith(DrainRecord.PREFIX) } && ++seen == number) action()
+            false
+        }
+    }
+
+    /** What befalls a leader at a write. */
+    enum class LeaderFault {
+        /** It ends; the write is carried out, and nobody acts on it. */
+        ENDS,
+
+        /** It ends once it has acted on the write. */
+        ENDS_LATER,
+
+        /** It stands still for longer than its lease, and then goes on. */
+        STANDS_STILL,
+
+        /** It reaches neither the state service nor its siblings. */
+        IS_CUT_OFF,
+    }
+
+    private fun DrainDay.befall(fault: LeaderFault) {
+        val leader = simulation.leader() ?: return
+        when (fault) {
+            LeaderFault.ENDS -> simulation.crash(leader, 3.secs)
+            LeaderFault.ENDS_LATER -> clock.after(400.millis) { simulation.crash(leader, 3.secs) }
+            LeaderFault.STANDS_STILL ->
+                clock.after(100.millis) { simulation.freeze(leader, 15.secs) }
+            LeaderFault.IS_CUT_OFF -> {
+                simulation.network.cut(leader)
+                clock.after(15.secs) { simulation.network.mend(leader) }
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(LeaderFault::class)
+    fun `the next leader goes on from any write of a step`(fault: LeaderFault) {
+        for (write in 1..8) {
+            val day = DrainDay(20L + write).begin().start()
+            day.atDrainWrite(write) { day.befall(fault) }
+            day.runUntilDone()
+            day.check()
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `late commands of the first leader take nothing beyond the budget`(seed: Long) {
+        val day = DrainDay(seed).begin().start()
+        for (worker in day.workers()) day.simulation.lateOrders[worker.id] = 4.secs
+        for (write in listOf(3, 6)) {
+            day.atDrainWrite(write) { day.befall(LeaderFault.STANDS_STILL) }
+            day.simulation.run(day.clock.now + 60.secs)
+        }
+        day.simulation.lateOrders.clear()
+        day.runUntilDone()
+        day.check(noticedAfter = 20.secs)
+    }
+
+    @Test
+    fun `a drain yields to urgent work that waits for room, and says so`() {
+        val day = DrainDay(5, capacity = 1)
+        day.begin(day.service(0, 2, cpus = 6.0), day.service(1, 2, cpus = 6.0))
+        val urgent = day.array(2, 8, 20.0, cpus = 14.0).copy(urgency = wardmux.intake.Urgency.HIGH)
+        day.submit(urgent)
+        day.simulation.run(day.clock.now + 5.secs)
+        day.start()
+        var said = false
+        while (day.simulation.rules.finalOf(urgent.id) == null) {
+            if ("goes first" in day.status().waitsFor) said = true
+            day.simulation.run(day.clock.now + 5.secs)
+            assertTrue(day.clock.now < 900.secs, "the urgent work never ended")
+        }
+        assertTrue(said, "it did not say that it yields")
+        assertEquals(0, day.stored()?.returned)
+        day.runUntilDone()
+        day.check()
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = [true, false])
+    fun `no task is moved before a replacement is up and sound`(sick: Boolean) {
+        val day = DrainDay(7)
+        // Fuller than half, so that nothing fits beside what is there.
+        day.begin(day.service(0, 3, cpus = 10.0))
+        if (sick) day.simulation.cloud.bornSick = true else day.simulation.cloud.stillborn = 1.0
+        val before = day.losses.stops.size
+        day.start()
+        day.simulation.run(day.clock.now + 60.secs)
+        if (!sick) {
+            assertEquals(before, day.losses.stops.size, "moved to a machine that is not up")
+            assertEquals(StepPhase.PREPARING, day.stored()?.step?.phase)
+        }
+        day.simulation.cloud.bornSick = false
+        day.simulation.cloud.stillborn = 0.0
+        for (worker in day.workers()) if (worker !in day.drained) worker.sick = false
+        day.runUntilDone()
+        day.check()
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = ["a", "b", "c"])
+    fun `a zone lost in the middle of a step pauses the drain until its work runs again`(
+        zone: String
+    ) {
+        val day = DrainDay(9).begin().start()
+        day.runUntilStep(StepPhase.EMPTYING)
+        for (worker in day.workers().filter { it.zone == zone }) day.simulation.cloud.kill(worker)
+        day.runUntilDone()
+        day.check()
+    }
+
+    @Test
+    fun `a wave of spot machines taken back during a drain of spot machines`() {
+        val day = DrainDay(11)
+        day.begin(day.array(0, 8, 90.0), day.array(1, 8, 90.0), day.service(2, 2))
+        day.start(DrainRequest("d1", DrainSelector(spot = true), graceS = 5.0))
+        day.runUntilStep(StepPhase.EMPTYING)
+        for (worker in day.workers().filter { it.spot }.drop(1)) {
+            worker.recallS = 10.0
+            day.clock.after(10.secs) { day.simulation.cloud.takeBack(worker) }
+        }
+        day.runUntilDone()
+        day.check()
+    }
+
+    @Test
+    fun `an outage of the state service for longer than a lease`() {
+        val day = DrainDay(13).begin().start()
+        day.runUntilStep(StepPhase.EMPTYING)
+        day.simulation.state.outage(null)
+        day.simulation.run(day.clock.now + 40.secs)
+        assertEquals(503, day.askOnce("GET", "${DrainApi.PATH}/d1")?.first, "at once")
+        day.simulation.state.back(null)
+        day.runUntilDone()
+        day.check()
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = [5, 12, 40])
+    fun `a machine that hangs while it is drained and comes back`(seconds: Int) {
+        val day = DrainDay(15).begin().start()
+        day.runUntilStep(StepPhase.EMPTYING)
+        val names = day.stored()?.step?.machines.orEmpty()
+        val hung = day.workers().filter { it.id in names }
+        for (worker in hung) worker.hanging = true
+        day.clock.after(seconds.secs) { for (worker in hung) worker.hanging = false }
+        day.runUntilDone()
+        day.check(noticedAfter = 20.secs)
+    }
+
+    @Test
+    fun `a machine that crashes while it is drained`() {
+        val day = DrainDay(17).begin().start()
+        day.runUntilStep(StepPhase.EMPTYING)
+        val names = day.stored()?.step?.machines.orEmpty()
+        for (worker in day.workers().filter { it.id in names }) day.simulation.cloud.kill(worker)
+        day.runUntilDone()
+        day.check()
+    }
+
+    @ParameterizedTest
+    @EnumSource(StepPhase::class)
+    fun `all controllers are restarted at once`(phase: StepPhase) {
+        val day = DrainDay(19).begin().start()
+        day.runUntilStep(phase)
+        day.crashAll()
+        day.runUntilDone()
+        day.check()
+    }
+
+    @Test
+    fun `a budget lowered below what is out stops nothing more until it is kept again`() {
+        val budget = BudgetSettings(mostDisrupted = 3, stepPauseS = 1.0)
+        val day = DrainDay(21, DrainSettings(budget = budget))
+        day.begin(day.service(0, 6), day.service(1, 6))
+        day.start()
+        day.runUntilStep(StepPhase.EMPTYING)
+        val lower = DrainSettings(budget = budget.copy(mostDisrupted = 1))
+        day.simulation.operatorsOf = { day.operators.copy(drain = lower) }
+        val until = day.clock.now + 5.secs
+        day.crashAll()
+        day.simulation.run(until)
+        val before = day.losses.stops.size
+        day.runUntilDone()
+        day.check()
+        val later = day.losses.stops.drop(before)
+        val beyond = later.filter { it.lost.size > 1 }
+        assertEquals(emptyList(), beyond.map { "${it.team} at ${it.at.seconds}: ${it.lost.keys}" })
+    }
+
+    @Test
+    fun `a budget of none is said to be the reason, and a raised one lets the drain go on`() {
+        val none = BudgetSettings(mostDisrupted = 0, stepPauseS = 1.0)
+        val day = DrainDay(23, DrainSettings(budget = none))
+        day.begin(day.service(0, 3)).start()
+        day.runUntil(120.secs, "paused") { day.stored()?.reason == PauseReason.BUDGET }
+        assertTrue("its budget is 0" in day.stored()?.note.orEmpty(), "${day.stored()}")
+        day.simulation.run(day.clock.now + 60.secs)
+        assertEquals(emptyList(), day.losses.stops.map { it.team })
+        val raised = DrainSettings(budget = none.copy(mostDisrupted = 1))
+        day.simulation.operatorsOf = { day.operators.copy(drain = raised) }
+        day.crashAll()
+        day.runUntilDone()
+        assertEquals(emptyList(), day.losses.beyond({ 1 }, 9.secs))
+        assertEquals(emptyList(), day.simulation.problems())
+    }
+
+    @Test
+    fun `replicas that must stay up stay up`() {
+        val budget = BudgetSettings(mostDisrupted = 3, leastReplicas = 3, stepPauseS = 1.0)
+        val day = DrainDay(25, DrainSettings(budget = budget))
+        val large = day.service(0, 4)
+        day.begin(large).start()
+        day.runUntilDone()
+        day.check()
+        assertTrue(day.losses.peakOf("team-0") <= 1, "${day.losses.peakOf("team-0")}")
+
+        val tooMany = DrainDay(27, DrainSettings(budget = budget.copy(leastReplicas = 4)))
+        tooMany.begin(tooMany.service(0, 4)).start()
+        tooMany.runUntil(120.secs, "paused") { tooMany.stored()?.reason == PauseReason.BUDGET }
+        assertTrue("must stay up" in tooMany.stored()?.note.orEmpty())
+        assertEquals(0, tooMany.losses.stops.size)
+    }
+
+    @Test
+    fun `a version without drains leads for a while and destroys nothing`() {
+        val day = DrainDay(29).begin().start()
+        day.runUntilStep(StepPhase.EMPTYING)
+        val before = day.stored()
+        day.simulation.operatorsOf = { OperatorSettings() }
+        day.crashAll()
+        day.simulation.run(day.clock.now + 60.secs)
+        assertEquals(before, day.stored())
+        assertEquals(404, day.askOnce("GET", "${DrainApi.PATH}/d1")?.first)
+        day.simulation.operatorsOf = { day.operators }
+        day.crashAll()
+        day.runUntilDone()
+        day.check()
+    }
+
+    @Test
+    fun `with drains beside controllers of a version that has none`() {
+        val day = DrainDay(31)
+        day.simulation.operatorsOf = { if (it == "n1") OperatorSettings() else day.operators }
+        for (node in day.simulation.nodes) day.simulation.crash(node, 1.secs)
+        day.begin()
+        day.runUntil(60.secs, "a leader") { day.simulation.leader() != null }
+        while (day.simulation.leader() == "n1") {
+            day.crashLeader()
+            day.simulation.run(day.clock.now + 10.secs)
+        }
+        val other = day.simulation.nodes.first { it != "n1" && it != day.simulation.leader() }
+        val body = operatorJson.encodeToString(DrainRequest.serializer(), REQUEST)
+        assertEquals(201, day.ask("POST", DrainApi.PATH, body, by = other).first)
+        day.runUntilDone()
+        assertNotEquals(0, day.stored()?.returned)
+        day.checkBudgets()
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3])
+    fun `writes that get no answer and are carried out late`(seed: Long) {
+        val day = DrainDay(seed).begin().start()
+        day.simulation.state.lateWrites = 0.3
+        day.simulation.run(day.clock.now + 90.secs)
+        day.simulation.state.lateWrites = 0.0
+        day.runUntilDone()
+        day.check(noticedAfter = 20.secs)
+    }
+
+    private companion object {
+        val REQUEST = DrainRequest("d1", DrainSelector(spot = false), graceS = 10.0)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/wardmux/drain/DrainLoopbackTest.kt
@@ -0,0 +1,141 @@
+package wardmux.drain
+
+import java.io.File
+import java.io.PrintWriter
+import java.io.StringWriter
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.io.TempDir
+import picocli.CommandLine
+import wardmux.Micros
+import wardmux.app.WardmuxCommand
+import wardmux.intake.JobSpec
+import wardmux.intake.Shape
+import wardmux.secs
+import wardmux.sim.plainJob
+
+/**
+ * A drain driven by the command line over real sockets, with three controllers as processes of
+ * their own, while a leader and a worker are killed. What each team lost is counted from the
+ * stand-in workers' own records. The long form takes the number of machines from `drain.machines`:
+ *
+ *     mvn -q test -Dtest=DrainLoopbackTest -Ddrain.machines=300
+ */
+class DrainLoopbackTest {
+    @TempDir lateinit var directory: File
+
+    private val machines = System.getProperty("drain.machines")?.toInt() ?: SHORT
+    private val isLong = machines > SHORT
+    private val budget = maxOf(4, machines / 15)
+
+    private val operators =
+        """
+        [drain]
+        address = "127.0.0.1:PORT"
+        solver_time_s = 0.2
+
+        [drain.budget]
+        most_disrupted = $budget
+        step_pause_s = 1.0
+        """
+            .trimIndent()
+
+    private fun services(): List<JobSpec> =
+        (0 until machines / MACHINES_A_SERVICE).map { number ->
+            plainJob(REPLICAS, "job-%06d".format(number + 1))
+                .copy(
+                    team = "team-${number % 3}",
+                    shape = Shape.DAEMON,
+                    cpus = 8.0,
+                    spot = false,
+                    estimateS = 0.0,
+                )
+        }
+
+    private class Told(val code: Int, val text: String)
+
+    private fun LoopbackSite.command(vararg arguments: String): Told {
+        val out = StringWriter()
+        val line = CommandLine(WardmuxCommand())
+        line.setOut(PrintWriter(out, true)).setErr(PrintWriter(out, true))
+        val addresses = operatorAddresses.flatMap { listOf("--controller", it) }
+        val all = listOf("drain") + arguments + addresses + listOf("--timeout", "60")
+        return Told(line.execute(*all.toTypedArray()), out.toString())
+    }
+
+    private fun LoopbackSite.await(what: String, most: Micros, reached: () -> Boolean) {
+        val deadline = System.nanoTime() + most.value * 1_000
+        while (!reached()) {
+            if (System.nanoTime() > deadline)
+                error("not in time: $what; ${stored("d1")}\n${logs()}")
+            Thread.sleep(200)
+        }
+    }
+
+    @Test
+    fun `a drain goes on through the end of its leader and of a machine, within the budgets`() {
+        val capacity = machines
+        LoopbackSite(directory, operators, capacity, teamCpus = machines * 16.0).use { site ->
+            val services = services()
+            services.forEach { site.submit(it) }
+            val all = services.sumOf { it.tasks }
+            site.await("all services run", 300.secs) { site.running(services) == all }
+            val before = site.machines(ZONE)
+            val began = site.now()
+
+            val selection =
+                if (isLong) arrayOf("--type", "mid", "--ordinary") else arrayOf("--zone", ZONE)
+            val size = if (isLong) "20" else "8"
+            val options = selection + arrayOf("--grace", "5", "--step-size", size)
+            val check = site.command("check", "--id", "d1", *options)
+            assertEquals(DrainExit.OK, check.code, check.text)
+            assertTrue("step 1" in check.text, check.text)
+            val started = site.command("start", "--id", "d1", *options)
+            assertEquals(DrainExit.OK, started.code, started.text)
+            assertEquals(DrainExit.OK, site.command("start", "--id", "d1", *options).code)
+
+            site.await("the first step", 120.secs) { site.isEmptying() }
+            val leader = checkNotNull(site.leader())
+            site.kill(leader)
+            val during = site.command("status", "d1")
+            assertEquals(DrainExit.OK, during.code, during.text)
+            site.start(leader)
+            val other = site.busyMachines(OTHER_ZONE).firstOrNull()
+            other?.let { site.crash(it) }
+
+            val most = if (isLong) 3600.secs else 400.secs
+            site.await("done", most) { site.stored("d1")?.state == DrainState.DONE }
+            val took = site.now() - began
+            site.await("all services run again", 300.secs) { site.running(services) == all }
+            assertEquals(emptyList(), site.machines(ZONE).filter { it in before })
+            assertEquals(emptyList(), site.problems(budget, noticedAfter = 30.secs))
+            val list = site.command("list")
+            assertTrue("d1  done" in list.text, list.text)
+            if (isLong) println(figures(site, took))
+            assertEquals(DrainExit.CONFLICT, site.command("cancel", "d1").code)
+            assertEquals(DrainExit.UNKNOWN_DRAIN, site.command("status", "d2").code)
+            val unknown = site.command("start", "--id", "d3", "--type", "none")
+            assertEquals(DrainExit.BAD_REQUEST, unknown.code)
+            assertEquals(1, unknown.text.trim().lines().size, unknown.text)
+        }
+    }
+
+    private fun LoopbackSite.isEmptying() = stored("d1")?.step?.phase == StepPhase.EMPTYING
+
+    private fun figures(site: LoopbackSite, took: Micros): String {
+        val record = site.stored("d1")
+        return "machines $machines, budget $budget, lost at most ${site.peaks()}, " +
+            "took ${took.seconds.toInt()} s, steps ${record?.stepsDone}, " +
+            "returned ${record?.returned}, moved ${record?.moved}"
+    }
+
+    private companion object {
+        /** Some 40 machines in three zones. */
+        const val SHORT = 40
+        const val REPLICAS = 8
+        const val MACHINES_A_SERVICE = 4
+        const val ZONE = "a"
+        const val OTHER_ZONE = "b"
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/wardmux/drain/DrainPlanTest.kt
@@ -0,0 +1,107 @@
+package wardmux.drain
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import wardmux.MachineId
+import wardmux.secs
+
+/** Plans keep every limit; the solver's is never worse than the greedy one. */
+class DrainPlanTest {
+    private fun load(number: Int, zone: String, vararg tasks: Pair<String, Int>) =
+        MachineLoad(
+            MachineId("i-%06d".format(number)),
+            zone,
+            tasks.sumOf { it.second }.toDouble(),
+            tasks.toMap(),
+            emptyMap(),
+        )
+
+    private fun solve(problem: DrainProblem) = SolverPlanner.plan(problem, 30.secs, 5_000)
+
+    private fun problem(
+        loads: List<MachineLoad>,
+        limits: Map<String, Int>,
+        stepSize: Int = 4,
+        order: StepOrder = StepOrder.FEWEST_STEPS,
+    ) = DrainProblem(loads, limits, emptyMap(), stepSize, order)
+
+    private fun DrainPlan.isSound(problem: DrainProblem) =
+        steps.all { problem.allows(it) } &&
+            steps.flatten().map { it.machine }.sortedBy { it.value } ==
+                problem.machines.map { it.machine }.sortedBy { it.value }
+
+    @Test
+    fun `first fit is not always the fewest, and the solver finds that`() {
+        // By tasks: 5 4 3 3 2 1 under 9; first fit decreasing takes (5 4) (3 3 2 1): two steps.
+        // With two teams it packs worse than need be.
+        val loads =
+            listOf(
+                load(1, "a", "x" to 3, "y" to 1),
+                load(2, "a", "x" to 1, "y" to 3),
+                load(3, "a", "x" to 2, "y" to 1),
+                load(4, "a", "x" to 1, "y" to 2),
+                load(5, "a", "x" to 2, "y" to 2),
+                load(6, "a", "x" to 3),
+            )
+        val problem = problem(loads, mapOf("x" to 4, "y" to 4))
+        val greedy = GreedyPlanner.plan(problem)
+        val solved = solve(problem)
+        assertTrue(solved.isSound(problem))
+        assertTrue(solved.measure <= greedy.measure)
+        assertTrue(solved.isOptimal)
+        assertEquals(3, solved.steps.size)
+    }
+
+    @Test
+    fun `seeded problems keep all limits, and the solver is never worse`() {
+        var better = 0
+        for (seed in 1..25) {
+            val random = Random(seed)
+            val loads =
+                List(6 + random.nextInt(14)) {
+                    load(
+                        it,
+                        listOf("a", "b").random(random),
+                        "x" to random.nextInt(4),
+                        "y" to random.nextInt(4),
+                        "z" to random.nextInt(3),
+                    )
+                }
+            val order = StepOrder.entries.random(random)
+            val limits = mapOf("x" to 4, "y" to 5, "z" to 3)
+            val problem = problem(loads, limits, stepSize = 4, order)
+            val greedy = GreedyPlanner.plan(problem)
+            val solved = solve(problem)
+            assertTrue(greedy.isSound(problem), "greedy, seed $seed")
+            assertTrue(solved.isSound(problem), "solved, seed $seed")
+            assertTrue(solved.measure <= greedy.measure, "seed $seed")
+            if (solved.measure < greedy.measure) better++
+        }
+        assertTrue(better > 0, "the solver never found anything better")
+    }
+
+    @Test
+    fun `a machine beyond a limit goes alone, and zones are not mixed where they go in turn`() {
+        val loads =
+            listOf(load(1, "b", "x" to 9), load(2, "a", "x" to 1), load(3, "b"), load(4, "a"))
+        val problem = problem(loads, mapOf("x" to 2), order = StepOrder.BY_ZONE)
+        val plan = solve(problem)
+        assertTrue(plan.isSound(problem))
+        assertEquals(listOf("a", "b", "b"), plan.steps.map { it.first().zone })
+        assertTrue(plan.steps.any { step -> step.map { it.machine.value } == listOf("i-000001") })
+    }
+
+    @Test
+    fun `replicas of a service are limited by themselves`() {
+        val loads =
+            List(4) {
+                MachineLoad(MachineId("i-$it"), "a", 1.0, mapOf("x" to 1), mapOf("job-1" to 1))
+            }
+        val problem =
+            DrainProblem(loads, mapOf("x" to 9), mapOf("job-1" to 2), 4, StepOrder.FEWEST_STEPS)
+        assertEquals(2, solve(problem).steps.size)
+        assertEquals(2, GreedyPlanner.plan(problem).steps.size)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/wardmux/drain/LoopbackSite.kt
@@ -0,0 +1,314 @@
+package wardmux.drain
+
+import io.netty.channel.nio.NioEventLoopGroup
+import java.io.File
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.util.concurrent.Callable
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import wardmux.Micros
+import wardmux.Outcome
+import wardmux.Port
+import wardmux.app.StateFacts
+import wardmux.app.TeamFacts
+import wardmux.app.WorkerFacts
+import wardmux.http.Arrival
+import wardmux.http.HttpClient
+import wardmux.http.HttpServer
+import wardmux.intake.JobSpec
+import wardmux.secs
+import wardmux.sim.FakeCloud
+import wardmux.sim.FakeStateService
+import wardmux.sim.FakeWorker
+import wardmux.sim.Rules
+import wardmux.sim.SimulatedClock
+import wardmux.store.lenientJson
+
+/**
+ * Controllers as processes of their own among stand-ins for all that they deal with, over sockets
+ * on loopback in real time. The stand-ins are those of the simulation: their clock follows the real
+ * one, and one event loop owns them.
+ */
+class LoopbackSite(
+    private val directory: File,
+    private val operators: String,
+    machines: Int,
+    private val teamCpus: Double,
+) : AutoCloseable {
+    private val group = NioEventLoopGroup(1)
+    private val acceptors = NioEventLoopGroup(1)
+    private val loop = group.next()
+    private val clock = SimulatedClock(1)
+    private val zones = listOf("a", "b", "c")
+    private val nodes = listOf("n0", "n1", "n2")
+    private val teams = List(TEAMS) { TeamFacts("team-$it", teamCpus, teamCpus) }
+    private val workerFacts = WorkerFacts(reportS = 1.0, leaseS = 16.0, cancelS = 36.0)
+    private val stateFacts = StateFacts(rps = 600.0, writeRps = 300.0, valueKb = 16.0, txnOps = 48)
+    private val state = FakeStateService(clock, stateFacts)
+    private val rules = Rules(teams, workerFacts.cancelS.secs + Rules.SLACK)
+    private val cloud = FakeCloud(clock, zones, machines, ::worker)
+    private val specs = HashMap<String, JobSpec>()
+    private val addresses = nodes.associateWith { Addresses(freePort(), freePort(), freePort()) }
+    private val processes = HashMap<String, Process>()
+    private val clients = HashMap<Pair<String, String>, HttpClient>()
+    private val users = nodes.associateWith { client(addresses.getValue(it).api) }
+    private val statePort = serve { arrival, answer ->
+        state.handle("all", arrival.method, arrival.path, arrival.body.decodeToString(), answer)
+    }
+    private val cloudPort = serve { arrival, answer ->
+        cloud.handle(arrival.method, arrival.path, arrival.body.decodeToString(), answer)
+    }
+
+    private class Addresses(val api: Int, val peer: Int, val operators: Int)
+
+    init {
+        val start = System.nanoTime()
+        loop.scheduleWithFixedDelay(
+            {
+                clock.run(Micros((System.nanoTime() - start) / NANOS_PER_MICRO)) {}
+                rules.check(clock.now)
+            },
+            0,
+            PUMP_MILLIS,
+            TimeUnit.MILLISECONDS,
+        )
+        nodes.forEach(::start)
+    }
+
+    /** Where operators reach the controllers. */
+    val operatorAddresses: List<String>
+        get() = addresses.values.map { "$HOST:${it.operators}" }
+
+    /** What the stand-ins own is read and changed on their loop alone. */
+    private fun <T> onLoop(action: () -> T): T = loop.submit(Callable { action() }).get()
+
+    private fun freePort() = ServerSocket(0, 1, InetAddress.getByName(HOST)).use { it.localPort }
+
+    private fun client(port: Int) = HttpClient(group, InetSocketAddress(HOST, port), 1, MAX_BYTES)
+
+    /** Listens on a thread of its own, and has what comes handled on the loop; gives the port. */
+    private fun serve(handle: (Arrival, (Int, String) -> Unit) -> Unit): Int {
+        lateinit var server: HttpServer
+        val onArrival: (Arrival) -> Unit = { arrival ->
+            loop.execute {
+                handle(arrival) { status, body ->
+                    acceptors.next().execute {
+                        server.answer(arrival.id, status, body.encodeToByteArray(), null)
+                    }
+                }
+            }
+        }
+        server = HttpServer(acceptors, MANY, MANY, IDLE_S, onArrival)
+        val channel = server.listen(InetSocketAddress(HOST, 0), Port.PEER)
+        return (channel.localAddress() as InetSocketAddress).port
+    }
+
+    private fun worker(id: String, type: String, zone: String, spot: Boolean): FakeWorker {
+        lateinit var worker: FakeWorker
+        val port = serve { arrival, answer ->
+            direct(worker, arrival)?.let { (status, body) -> answer(status, body) }
+        }
+        worker =
+            FakeWorker(
+                id,
+                type,
+                zone,
+                spot,
+                clock,
+                workerFacts,
+                nodes,
+                rules,
+                specs::get,
+                endpoint = "$HOST:$port",
+            ) { node, body, answer ->
+                report(id, node, body, answer)
+            }
+        return worker
+    }
+
+    private fun direct(worker: FakeWorker, arrival: Arrival): Pair<Int, String>? =
+        when {
+            !worker.alive || worker.hanging -> null
+            arrival.path == "/status" -> 200 to worker.reportBody()
+            else -> worker.direct(arrival.body.decodeToString())
+        }
+
+    private fun report(id: String, node: String, body: String, answer: (Int, String) -> Unit) {
+        val client = clients.getOrPut(id to node) { client(addresses.getValue(node).api) }
+        client.send("POST", "/hello", body.encodeToByteArray(), REPORT_TIMEOUT) { outcome ->
+            val response = outcome as? Outcome.Response
+            answer(response?.status ?: 0, response?.text.orEmpty())
+        }
+    }
+
+    /** Starts the process of a controller. */
+    fun start(node: String) {
+        val config = File(directory, "$node.toml").also { it.writeText(config(node)) }
+        val own = operators.replace("PORT", "${addresses.getValue(node).operators}")
+        val settings = File(directory, "$node-settings.toml").also { it.writeText(own) }
+        val java = File(System.getProperty("java.home"), "bin/java").path
+        val command =
+            listOf(java, "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx160m") +
+                listOf("-cp", System.getProperty("java.class.path"), "wardmux.app.MainKt") +
+                listOf("serve", "--config", config.path, "--settings", settings.path)
+        val log = File(directory, "$node.log")
+        processes[node] =
+            ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
+                .start()
+    }
+
+    /** Ends the process of a controller without notice. */
+    fun kill(node: String) {
+        processes.remove(node)?.destroyForcibly()?.waitFor()
+    }
+
+    /** Who leads, by what is stored. */
+    fun leader(): String? = onLoop {
+        state.value("leader")?.let {
+            lenientJson.decodeFromJsonElement(wardmux.lead.LeaderRecord.serializer(), it).member
+        }
+    }
+
+    /** What is stored of a drain. */
+    fun stored(id: String): DrainRecord? = onLoop {
+        state.value(DrainRecord.key(id))?.let {
+            lenientJson.decodeFromJsonElement(DrainRecord.serializer(), it)
+        }
+    }
+
+    /** Submits a job until a controller accepts it. */
+    fun submit(spec: JobSpec) {
+        onLoop {
+            specs[spec.id] = spec
+            rules.submitted(spec)
+        }
+        val body = lenientJson.encodeToString(JobSpec.serializer(), spec).encodeToByteArray()
+        repeat(MOST_TRIES) {
+            val reply = CompletableFuture<Outcome>()
+            loop.execute {
+                users.values
+                    .toList()[it % nodes.size]
+                    .send("POST", "/submissions", body, 5.secs, reply::complete)
+            }
+            val status = (reply.get() as? Outcome.Response)?.status
+            if (status == 200 || status == 201) return
+            Thread.sleep(RETRY_MILLIS)
+        }
+        error("${spec.id} was not accepted")
+    }
+
+    /** Machines that are up, by their ids. */
+    fun machines(zone: String? = null): List<String> = onLoop {
+        cloud.workers().filter { zone == null || it.zone == zone }.map { it.id }
+    }
+
+    /** Machines on which something runs. */
+    fun busyMachines(zone: String): List<String> = onLoop {
+        cloud.workers().filter { it.zone == zone && it.tasksThere > 0 }.map { it.id }
+    }
+
+    /** A machine stops with all that is on it. */
+    fun crash(machine: String) = onLoop {
+        cloud.workers().filter { it.id == machine }.forEach(cloud::kill)
+    }
+
+    /** How many replicas run. */
+    fun running(jobs: List<JobSpec>): Int = onLoop { jobs.sumOf { rules.machinesOf(it.id).size } }
+
+    /** What the stand-ins' own records say against the controllers. */
+    fun problems(limit: Int, noticedAfter: Micros): List<String> = onLoop {
+        rules.broken +
+            state.problems +
+            cloud.problems +
+            rules.losses.beyond({ limit }, noticedAfter)
+    }
+
+    /** The most that each team had lost at once. */
+    fun peaks(): Map<String, Int> = onLoop {
+        teams.associate { it.name to rules.losses.peakOf(it.name) }
+    }
+
+    /** Time since the site began. */
+    fun now(): Micros = onLoop { clock.now }
+
+    /** The last lines that a controller logged. */
+    fun logs(): String =
+        nodes.joinToString("\n") { node ->
+            node +
+                ":\n" +
+                File(directory, "$node.log").readLines().takeLast(LOG_LINES).joinToString("\n")
+        }
+
+    override fun close() {
+        nodes.forEach(::kill)
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS)
+        acceptors.shutdownGracefully(0, 0, TimeUnit.SECONDS)
+    }
+
+    private fun config(node: String): String {
+        val own = addresses.getValue(node)
+        val siblings =
+            (nodes - node).joinToString("\n") {
+                "[[siblings]]\nmember = \"$it\"\naddr = \"$HOST:${addresses.getValue(it).peer}\"\n"
+            }
+        val teams =
+            teams.joinToString("\n") {
+                "[[facts.teams]]\nname = \"${it.name}\"\ncpus = ${it.cpus}\ncpus_max = ${it.cpusMax}\n"
+            }
+        return """
+member = "$node"
+site = "a"
+api_addr = "$HOST:${own.api}"
+peer_bind = "$HOST:${own.peer}"
+
+$siblings
+[services]
+cloud = "$HOST:$cloudPort"
+state = "$HOST:$statePort"
+
+[facts]
+nodes = ${nodes.size}
+zones = ["a", "b", "c"]
+clock_error_ms = 100.0
+
+$teams
+[facts.workers]
+report_s = ${workerFacts.reportS}
+lease_s = ${workerFacts.leaseS}
+cancel_s = ${workerFacts.cancelS}
+
+[facts.state]
+rps = ${stateFacts.rps}
+write_rps = ${stateFacts.writeRps}
+value_kb = ${stateFacts.valueKb}
+txn_ops = ${stateFacts.txnOps}
+
+[facts.cloud]
+rps = 8.0
+list_lag_s = 3.0
+
+[facts.limits]
+cpu = 1.0
+ram_mb = 268.0
+fd_limit = 4000
+"""
+    }
+
+    private companion object {
+        const val HOST = "127.0.0.1"
+        const val TEAMS = 3
+        const val PUMP_MILLIS = 5L
+        const val NANOS_PER_MICRO = 1_000
+        const val MAX_BYTES = 16 * 1024 * 1024
+        const val MANY = 10_000
+        const val IDLE_S = 90L
+        const val MOST_TRIES = 60
+        const val RETRY_MILLIS = 500L
+        const val LOG_LINES = 30
+        val REPORT_TIMEOUT = 4.secs
+    }
+}
--- a/src/test/kotlin/wardmux/sim/ClusterSimulation.kt
+++ b/src/test/kotlin/wardmux/sim/ClusterSimulation.kt
@@ -24,6 +24,7 @@
 import wardmux.app.StateFacts
 import wardmux.app.TeamFacts
 import wardmux.app.WorkerFacts
+import wardmux.drain.SolverPlanner
 import wardmux.intake.JobSpec
 import wardmux.intake.Shape
 import wardmux.intake.Urgency
@@ -49,6 +50,12 @@
     /** The most CPUs that a team may use. */
     teamCpus: Double = 40.0,
 ) {
+    /** The operators' settings of a controller that starts from now on, by its name. */
+    var operatorsOf: (member: String) -> OperatorSettings = { operators }
+
+    /** Plans of drains that are never worked out. */
+    var lostPlans = 0.0
+
     /** Of these limits a controller is told that starts from now on, by its name. */
     var toldTo: (member: String) -> NextStateFacts? = { told }
     val clock = SimulatedClock(seed)
@@ -125,7 +132,7 @@
         val drift = 1.0 + clock.random.nextDouble(-0.0005, 0.0005)
         val offset = clock.between(Micros.ZERO, 100.millis)
         val answers = HashMap<Long, (Int, ByteArray) -> Unit>()
-        val core = Controller(settings(member), operators, "${++boots}")
+        val core = Controller(settings(member), operatorsOf(member), "${++boots}")
         var alive = true
 
         /**
@@ -163,9 +170,17 @@
             when (effect) {
                 is Effect.Answer -> answers.remove(effect.id)?.invoke(effect.status, effect.body)
                 is Effect.Send -> send(effect)
+                is Effect.Solve -> solve(effect)
             }
         }
 
+        /** Bounded by nodes and not by time, so that a seed always gives the same day. */
+        private fun solve(effect: Effect.Solve) {
+            if (lostPlans > 0 && clock.chance(lostPlans)) return
+            val plan = SolverPlanner.plan(effect.problem, 60.secs, nodes = 2_000)
+            clock.after(200.millis) { feed(Input.Solved(effect.id, plan)) }
+        }
+
         private fun send(effect: Effect.Send) {
             var over = false
             clock.after(effect.timeout) {
@@ -289,7 +304,7 @@
                 rules,
                 specs::get,
                 gangs,
-                send,
+                send = send,
             )
         workers[id] = worker
         return worker
@@ -329,6 +344,15 @@
     /** The token of the leader: the revision of the write that took the key. */
     fun leaderToken(): Long? = state.stamp("leader")
 
+    /** An operator asks the controller [by], or any; null if it never answers. */
+    fun operate(
+        method: String,
+        path: String,
+        body: String = "",
+        by: String? = null,
+        then: (status: Int?, text: String) -> Unit,
+    ) = ask(Port.OPERATOR, method, path, body.encodeToByteArray(), by, then)
+
     // Users.
 
     private fun ask(
@@ -337,6 +361,15 @@
         body: ByteArray,
         by: String? = null,
         then: (status: Int?, text: String) -> Unit,
+    ) = ask(Port.API, method, path, body, by, then)
+
+    private fun ask(
+        port: Port,
+        method: String,
+        path: String,
+        body: ByteArray,
+        by: String?,
+        then: (status: Int?, text: String) -> Unit,
     ) {
         var over = false
         clock.after(5.secs) {
@@ -345,7 +378,7 @@
         }
         val node = by ?: nodes[clock.random.nextInt(nodes.size)]
         network.send("user", node) {
-            call(node, Port.API, method, path, body) { status, text ->
+            call(node, port, method, path, body) { status, text ->
                 network.send(node, "user") {
                     if (!over) then(status, text.decodeToString())
                     over = true
--- a/src/test/kotlin/wardmux/sim/ControllerHarness.kt
+++ b/src/test/kotlin/wardmux/sim/ControllerHarness.kt
@@ -169,6 +169,8 @@
                     bytes[effect.id] = effect.body
                 }
                 is Effect.Send -> send(effect)
+                // No plan comes: the greedy one has to serve.
+                is Effect.Solve -> Unit
             }
         }
     }
--- a/src/test/kotlin/wardmux/sim/FakeCloud.kt
+++ b/src/test/kotlin/wardmux/sim/FakeCloud.kt
@@ -19,6 +19,7 @@
 class FakeCloud(
     private val clock: SimulatedClock,
     private val zones: List<String>,
+    /** Machines of each zone and kind. */
     private val capacity: Int,
     private val newWorker: (id: String, type: String, zone: String, spot: Boolean) -> FakeWorker,
 ) {
@@ -38,6 +39,9 @@
 
     /** Chance that a machine never comes up. */
     var stillborn = 0.0
+
+    /** Machines that come up fail every task. */
+    var bornSick = false
     val problems = ArrayList<String>()
 
     init {
@@ -55,7 +59,8 @@
         boxes[id] = box
         if (!clock.chance(stillborn)) {
             clock.after(clock.between(1.secs, 6.secs)) {
-                if (boxes[id] === box) box.worker = newWorker(id, TYPE, zone, spot)
+                if (boxes[id] === box)
+                    box.worker = newWorker(id, TYPE, zone, spot).also { it.sick = bornSick }
             }
         }
         return id
--- a/src/test/kotlin/wardmux/sim/FakeStateService.kt
+++ b/src/test/kotlin/wardmux/sim/FakeStateService.kt
@@ -81,6 +81,9 @@
     var refusedWatchesWait = false
     val problems = ArrayList<String>()
 
+    /** Told of every request. */
+    var heard: ((path: String, body: String) -> Unit)? = null
+
     /** Lower limits than those it began with, or null. */
     private var lowered: NextStateFacts? = null
     private val written = ArrayDeque<Micros>()
@@ -151,6 +154,7 @@
         body: String,
         answer: (Int, String) -> Unit,
     ) {
+        heard?.invoke(path, body)
         if (null in refused || from in refused) return answer(503, "{}")
         val route = path.substringBefore('?')
         val query =
--- a/src/test/kotlin/wardmux/sim/FakeWorker.kt
+++ b/src/test/kotlin/wardmux/sim/FakeWorker.kt
@@ -35,6 +35,8 @@
     private val rules: Rules,
     private val specOf: (String) -> JobSpec?,
     private val gangs: FakeGangs = FakeGangs(clock, rules),
+    /** Where it takes direct commands. */
+    private val endpoint: String = "$id:9000",
     private val send: Report,
 ) {
     private class Task(val name: String, val attempt: Int) {
@@ -131,10 +133,16 @@
     /** The machine stops with all that is on it. */
     fun die() {
         alive = false
-        for (task in tasks.values) leave(task, done = false)
+        for (task in tasks.values) lose(task)
         tasks.clear()
     }
 
+    /** It ends with its machine or its session. */
+    private fun lose(task: Task) {
+        leave(task, done = false)
+        if (task.status != "ended") rules.losses.lost(clock.now, task.name, LossCause.CRASHED)
+    }
+
     private fun leave(task: Task, done: Boolean) {
         if (task.status in onMachine) rules.ended(task.job, task.index, id, done)
         task.seat?.let(gangs::gone)
@@ -142,7 +150,7 @@
 
     private fun step() {
         if (clock.now - answeredSentAt > facts.leaseS.secs) {
-            for (task in tasks.values) leave(task, done = false)
+            for (task in tasks.values) lose(task)
             tasks.clear()
             shift++
             tick = 0
@@ -156,7 +164,7 @@
     fun reportBody() =
         buildJsonObject {
                 put("box", id)
-                put("endpoint", "$id:9000")
+                put("endpoint", endpoint)
                 put("boxkind", type)
                 put("ward", zone)
                 put("loaners", spot)
@@ -290,6 +298,7 @@
             return gangs.join(Seat(task).also { task.seat = it }, spec)
         }
         starts++
+        rules.losses.runs(clock.now, task.name, spec.team)
         if (sick) return clock.after(1.secs) { if (present(task)) end(task, "error", false) }
         if (spec.estimateS > 0) {
             clock.after(clock.between(1.secs, (spec.estimateS * 1.5).secs)) { finish(task) }
@@ -301,6 +310,7 @@
         task.status = "running"
         changed = true
         starts++
+        specOf(task.job)?.let { rules.losses.runs(clock.now, task.name, it.team) }
         if (sick) clock.after(1.secs) { if (present(task)) end(task, "error", false) }
     }
 
@@ -311,9 +321,16 @@
         end(task, "done", true)
     }
 
+    private fun causeOfStop() = if (recallS == null) LossCause.STOPPED else LossCause.RECALLED
+
     private fun end(task: Task, cause: String, done: Boolean) {
         if (task.status == "ended") return
         leave(task, done)
+        if (done) rules.losses.done(task.name)
+        else {
+            val lossCause = if (cause == "stopped") causeOfStop() else LossCause.CRASHED
+            rules.losses.lost(clock.now, task.name, lossCause)
+        }
         task.status = "ended"
         task.cause = cause
         changed = true
@@ -327,6 +344,7 @@
             seat != null -> gangs.halt(seat, within)
             task.status == "running" && spec.savable && within >= spec.saveS -> {
                 task.status = "saving"
+                rules.losses.lost(clock.now, task.name, causeOfStop())
                 clock.after(spec.saveS.secs) {
                     task.kept = true
                     if (present(task)) end(task, "stopped", false)
--- a/src/test/kotlin/wardmux/sim/Rules.kt
+++ b/src/test/kotlin/wardmux/sim/Rules.kt
@@ -39,6 +39,9 @@
     private val toldCancelledAt = HashMap<String, Micros>()
     private val askedToCancel = HashSet<String>()
     val broken = ArrayList<String>()
+
+    /** What each team lost, by the workers' own records. */
+    val losses = LossRecorder()
     var starts = 0
         private set
 
@@ -58,6 +61,7 @@
 
     fun askedToCancel(job: String) {
         askedToCancel.add(job)
+        losses.cancelled(job)
     }
 
     private fun breaks(rule: String, what: String) {
