An operators' address that can't be had no longer ends the controller

Cause: the listener was bound before the users', and a failure to bind ended the process.

Change: users are served first; the operators' address is tried again every 30 s.

--- a/src/main/kotlin/wardmux/app/Daemon.kt
+++ b/src/main/kotlin/wardmux/app/Daemon.kt
@@ -1,6 +1,8 @@
 package wardmux.app
 
+import io.netty.channel.Channel
 import io.netty.channel.nio.NioEventLoopGroup
+import java.net.BindException
 import java.net.InetSocketAddress
 import java.util.UUID
 import java.util.concurrent.TimeUnit
@@ -59,10 +61,33 @@
             }
             .sync()
         bind(platform.peerAddress, Port.PEER)
-        operators.drain?.listener?.let { bind(it, Port.OPERATOR) }
         val api = bind(platform.apiAddress, Port.API)
         log.info("{} listens for users on {}", platform.member, platform.apiAddress)
-        api.closeFuture().sync()
+        listenForOperators(api)
+    }
+
+    /**
+     * Operators may come later: an address that can't be had now is no reason to serve nobody, so
+     * it is tried again once in a while. Blocks until [api] is closed.
+     */
+    private fun listenForOperators(api: Channel) {
+        var bound = bindOperators()
+        while (!api.closeFuture().await(OPERATORS_RETRY_S, TimeUnit.SECONDS)) {
+            if (!bound) bound = bindOperators()
+        }
+    }
+
+    /** True if nothing is left to bind. */
+    private fun bindOperators(): Boolean {
+        val address = operators.drain?.listener ?: return true
+        try {
+            bind(address, Port.OPERATOR)
+            log.info("{} listens for operators on {}", platform.member, address)
+            return true
+        } catch (e: BindException) {
+            log.error("drain.address {} can't be listened on: {}", address, e.message)
+            return false
+        }
     }
 
     /**
@@ -126,6 +151,7 @@
         val NOWHERE = InetSocketAddress("0.0.0.0", 1)
         val TICK = 100.millis
         const val IDLE_SECONDS = 90L
+        const val OPERATORS_RETRY_S = 30L
 
         const val STATE_CONNECTIONS = 24
         const val CLOUD_CONNECTIONS = 4
--- a/src/main/kotlin/wardmux/app/WardmuxCommand.kt
+++ b/src/main/kotlin/wardmux/app/WardmuxCommand.kt
@@ -86,9 +86,7 @@
             Daemon(platform, operators).run()
             0
         } catch (e: java.net.BindException) {
-            System.err.println(
-                "wardmux: api_addr, peer_bind or drain.address cannot be listened on: ${e.message}"
-            )
+            System.err.println("wardmux: api_addr or peer_bind cannot be listened on: ${e.message}")
             1
         }
     }
--- /dev/null
+++ b/src/test/kotlin/wardmux/app/DaemonTest.kt
@@ -0,0 +1,49 @@
+package wardmux.app
+
+import java.io.File
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.net.Socket
+import kotlin.test.Test
+import org.junit.jupiter.api.io.TempDir
+import wardmux.drain.DrainSettings
+
+/** The process around the core. */
+class DaemonTest {
+    @TempDir lateinit var directory: File
+
+    private val loopback = InetAddress.getLoopbackAddress()
+
+    private fun freePort() = ServerSocket(0, 1, loopback).use { it.localPort }
+
+    private fun connects(port: Int): Boolean =
+        try {
+            Socket().use { it.connect(InetSocketAddress(loopback, port), 1_000) }
+            true
+        } catch (e: java.io.IOException) {
+            false
+        }
+
+    @Test
+    fun `users are served also where the operators' address can't be had`() {
+        val file = File(directory, "settings.toml")
+        file.writeText(ArchiveTrainingRun.SAMPLE)
+        val api = freePort()
+        val platform =
+            SettingsFiles.platform(file)
+                .copy(apiAddress = "127.0.0.1:$api", peerAddress = "127.0.0.1:${freePort()}")
+        val taken = ServerSocket(0, 1, loopback)
+        val operators = OperatorSettings(drain = DrainSettings(":${taken.localPort}"))
+        val daemon = Thread { Daemon(platform, operators).run() }
+        daemon.isDaemon = true
+        daemon.start()
+        while (!connects(api)) {
+            check(daemon.isAlive) { "the process has ended" }
+            Thread.sleep(50)
+        }
+        daemon.join(1_000)
+        check(daemon.isAlive && connects(api)) { "the process has ended" }
+        taken.close()
+    }
+}
--- a/src/test/kotlin/wardmux/drain/DrainFaultsTest.kt
+++ b/src/test/kotlin/wardmux/drain/DrainFaultsTest.kt
@@ -89,6 +89,63 @@
         day.check(noticedAfter = 20.secs)
     }
 
+    /** Two machines with a replica each, drained side by side, of which one may be down. */
+    private fun sideBySide(seed: Long): Pair<DrainDay, List<String>> {
+        val budget = BudgetSettings(mostDisrupted = 1, stepPauseS = 0.0)
+        val day = DrainDay(seed, DrainSettings(budget = budget))
+        day.begin(day.service(0, 3, cpus = 10.0))
+        val machines = day.workers().filter { it.tasksThere > 0 }.map { it.id }.take(2)
+        for ((number, machine) in machines.withIndex()) {
+            day.start(DrainRequest("d${number + 1}", DrainSelector(machines = listOf(machine))))
+        }
+        return day to machines
+    }
+
+    private fun DrainDay.runUntilBothDone() {
+        runUntilDone(id = "d1")
+        runUntilDone(id = "d2")
+        checkBudgets()
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `what an earlier leader may have stopped counts until it is heard of`(seed: Long) {
+        val (day, machines) = sideBySide(seed)
+        day.runUntil(200.secs, "a stop") { day.losses.stops.isNotEmpty() }
+        // The next leader does not hear of the stop: that machine reaches no controller.
+        val stopped =
+            day.workers().filter { it.id in machines }.filter { it.tasksThere == 0 }.map { it.id }
+        day.simulation.network.mute.addAll(stopped)
+        day.crashLeader()
+        day.clock.after(25.secs) { day.simulation.network.mute.removeAll(stopped.toSet()) }
+        day.runUntilBothDone()
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `a stop that is on its way counts also after what is stored was read again`(seed: Long) {
+        val (day, machines) = sideBySide(seed)
+        val network = day.simulation.network
+        // Direct commands take long, and once the stop is sent nothing else gets through.
+        for (machine in machines) day.simulation.lateOrders[machine] = 8.secs
+        day.runUntil(200.secs, "a stop is recorded") {
+            listOf("d1", "d2").any { day.stored(it)?.step?.moved?.isNotEmpty() == true }
+        }
+        val leader = checkNotNull(day.simulation.leader())
+        for (machine in machines) network.part(leader, machine)
+        // The next placements get no answer, so all is read again.
+        var swallowed = 0
+        day.simulation.state.late = { _, transaction ->
+            "\"tags\"" in transaction.toString() && swallowed++ == 0
+        }
+        day.submit(day.array(1, 2, 5.0))
+        day.clock.after(9.secs) { for (machine in machines) network.join(leader, machine) }
+        day.simulation.run(day.clock.now + 12.secs)
+        assertTrue(swallowed > 0)
+        day.simulation.lateOrders.clear()
+        day.runUntilBothDone()
+    }
+
     @Test
     fun `a drain yields to urgent work that waits for room, and says so`() {
         val day = DrainDay(5, capacity = 1)
