--- a/src/main/kotlin/wardmux/app/Controller.kt
+++ b/src/main/kotlin/wardmux/app/Controller.kt
@@ -84,7 +84,7 @@
             platform.facts.workers,
             StoreRelayClient(context, store, platform.member),
             platform.siblings.size,
-            SocketBudget(platform.facts.limits.fdLimit).workers,
+            platform.facts.limits.sockets.workers,
             peers::wantsRelays,
             ::sendToLeader,
         )
--- a/src/main/kotlin/wardmux/app/Daemon.kt
+++ b/src/main/kotlin/wardmux/app/Daemon.kt
@@ -22,7 +22,7 @@
     private val log = logger<Daemon>()
     private val group = NioEventLoopGroup(1)
     private val core = Controller(platform, operators, boot())
-    private val sockets = SocketBudget(platform.facts.limits.fdLimit)
+    private val sockets = platform.facts.limits.sockets
     private val server =
         HttpServer(group, sockets.clients, sockets.workers, IDLE_SECONDS) {
             feed(Input.Call(it.id, it.port, it.method, it.path, it.body))
--- a/src/main/kotlin/wardmux/app/Settings.kt
+++ b/src/main/kotlin/wardmux/app/Settings.kt
@@ -126,6 +126,10 @@
     @SerialName("ram_mb") val ramMb: Double = 0.0,
     @SerialName("fd_limit") val fdLimit: Int,
 ) {
+    /** How the sockets of the process are divided. */
+    val sockets: SocketBudget
+        get() = SocketBudget(fdLimit)
+
     /** What the last reports of machines may take, so that like ones need no parsing. */
     val reportCacheBytes: Long
         get() = maxOf((ramMb * BYTES_PER_MB * REPORT_CACHE_PART).toLong(), LEAST_REPORT_CACHE)
--- a/src/main/kotlin/wardmux/cloud/MachineDrainer.kt
+++ b/src/main/kotlin/wardmux/cloud/MachineDrainer.kt
@@ -44,7 +44,7 @@
 
     private fun drain(pool: MachinePool, own: List<Machine>, surplus: Double) {
         var left = surplus
-        val candidates = own.filter { !it.spot && !it.draining && eligibility.usable(it) }
+        val candidates = own.filter { !it.spot && eligibility.usable(it) }
         val order =
             compareByDescending<Machine> { pool.dearness(it.type, it.spot) }.thenBy { it.load }
         for (machine in candidates.filter { !it.empty }.sortedWith(order)) {
@@ -63,7 +63,7 @@
         if (draining.isEmpty() || cluster.hasDrains) return
         val moving = cluster.machines.values.sumOf { m -> m.placements.values.count { it.halting } }
         var left = MOST_MOVING - moving
-        val targets = cluster.machines.values.filter { !it.draining && eligibility.usable(it) }
+        val targets = cluster.machines.values.filter { eligibility.usable(it) }
         val promised = HashMap<Machine, Double>()
         for (machine in draining.sortedBy { it.placements.size }) {
             for (replica in machine.placements.values) {
--- a/src/main/kotlin/wardmux/cloud/Provisioner.kt
+++ b/src/main/kotlin/wardmux/cloud/Provisioner.kt
@@ -193,11 +193,15 @@
      * missing. False if no type of the pool is to be had for now.
      */
     private fun rent(pool: MachinePool, missing: Double, spot: Boolean): Boolean {
-        val open = pool.cheapestFirst(spot).filter { orders.openZones(it, spot).isNotEmpty() }
-        for (type in open) {
+        val open =
+            pool
+                .cheapestFirst(spot)
+                .associateWith { orders.openZones(it, spot) }
+                .filterValues { it.isNotEmpty() }
+        for ((type, zones) in open) {
             val count = (missing / pool.weightOf(type) + ROUNDING).toInt()
             if (count <= 0) continue
-            orders.spread(type, count, spot)
+            orders.spread(type, zones, count, spot)
             return true
         }
         return open.isNotEmpty()
--- a/src/main/kotlin/wardmux/cloud/RentalOrders.kt
+++ b/src/main/kotlin/wardmux/cloud/RentalOrders.kt
@@ -39,8 +39,7 @@
     private val mostPending = maxOf(1, facts.rps.toInt())
 
     /** Something was refused, so that another kind may be asked for now. */
-    var refused = false
-        private set
+    private var refused = false
 
     /** Sends requests again of which it is not known whether they were carried out. */
     fun retry() {
@@ -70,18 +69,15 @@
 
     private fun isOpen(kind: MachineKind) = context.now >= (refusedUntil[kind] ?: Micros.LONG_AGO)
 
-    /** Asks for machines, spread over the zones that are open; gives how many were asked for. */
-    fun spread(type: MachineType, count: Int, spot: Boolean): Int {
-        val open = openZones(type, spot)
-        if (open.isEmpty()) return 0
+    /** Asks for machines, spread over the zones that are [open]. */
+    fun spread(type: MachineType, open: List<String>, count: Int, spot: Boolean) {
         val share = (count + open.size - 1) / open.size
         var left = count
         for (zone in open) {
             val here = minOf(share, left, MOST_AT_ONCE)
-            if (here <= 0 || !place(MachineKind(type, zone, spot), here)) break
+            if (here <= 0 || !place(MachineKind(type, zone, spot), here)) return
             left -= here
         }
-        return count - left
     }
 
     /** Asks for machines of one kind; false if no more can be asked for now. */
--- a/src/main/kotlin/wardmux/drain/StepExecutor.kt
+++ b/src/main/kotlin/wardmux/drain/StepExecutor.kt
@@ -9,7 +9,6 @@
 import wardmux.dispatch.TaskStopper
 import wardmux.fleet.Machine
 import wardmux.fleet.Placement
-import wardmux.intake.Shape
 import wardmux.intake.Urgency
 import wardmux.secs
 
@@ -51,6 +50,8 @@
     /** Tasks that one record can name. */
     private val mostMoving: Int,
 ) {
+    private val chooser = StopChooser(context, disruptions)
+
     /** What to do next for the step of [record]. */
     fun decide(record: DrainRecord, step: DrainStep): Decision =
         when (step.phase) {
@@ -62,7 +63,7 @@
     /** Tasks on the machine that will not end by themselves within the grace period. */
     fun tasksToMove(machine: Machine, request: DrainRequest): List<Placement> =
         machine.placements.values.filter {
-            !it.job.over && (isService(it) || remaining(it) > request.graceS.secs)
+            !it.job.over && (it.isReplica || remaining(it) > request.graceS.secs)
         }
 
     /** An urgent job that waits for room on one of the machines: it goes first. */
@@ -174,10 +175,8 @@
             open
                 .filter { it.confirmed }
                 .flatMap { it.placements.values }
-                .filter {
-                    isStoppable(it) && (isService(it) || graceOver) && it.name !in step.moved
-                }
-        val choice = choose(candidates)
+                .filter { isStoppable(it) && (it.isReplica || graceOver) && it.name !in step.moved }
+        val choice = chooser.choose(candidates)
         if (choice.chosen.isEmpty()) return whyNone(choice, open)
         val onTheirWay = open.flatMap { it.placements.values }.filter { it.name in step.moved }
         val unseated = seats.unseated(onTheirWay + choice.chosen).toSet()
@@ -191,57 +190,11 @@
         return Decision.Write(record.copy(step = next, moved = record.moved + moved.size))
     }
 
-    private class Choice(val chosen: List<Placement>, val refusal: BudgetRefusal?, val team: String)
-
-    /** As many as the budgets allow, those with least to lose first. */
-    private fun choose(candidates: List<Placement>): Choice {
-        val chosen = ArrayList<Placement>()
-        val byTeam = HashMap<String, Int>()
-        var refusal: BudgetRefusal? = null
-        var refusedTeam = ""
-        for (candidate in candidates.sortedBy { lost(it).value }) {
-            if (chosen.size >= MOST_AT_ONCE) break
-            val team = candidate.job.spec.team
-            val units = units(candidate)
-            val isSingle = byTeam.containsKey(team) && chosen.any { it.job === candidate.job }
-            if (candidate.job.spec.isGang && isSingle) continue
-            val refused = refusalBeside(candidate, units, chosen, byTeam[team] ?: 0)
-            if (refused != null) {
-                // What ends by itself is waited for, whatever its budget.
-                if (refusal == null || isService(candidate)) {
-                    refusal = refused
-                    refusedTeam = team
-                }
-                continue
-            }
-            chosen.add(candidate)
-            byTeam.merge(team, units, Int::plus)
-        }
-        return Choice(chosen, refusal, refusedTeam)
-    }
-
-    /** Whether the budgets have room for it beside what is [chosen] already. */
-    private fun refusalBeside(
-        candidate: Placement,
-        units: Int,
-        chosen: List<Placement>,
-        ofTeam: Int,
-    ): BudgetRefusal? {
-        val alone = disruptions.refusal(candidate.job, units)
-        if (alone != null || ofTeam == 0) return alone
-        val team = candidate.job.spec.team
-        if (disruptions.lostOf(team) + ofTeam + units > disruptions.limitOf(team))
-            return BudgetRefusal.NotNow("team $team: its budget is in use")
-        val ofJob = chosen.count { it.job === candidate.job }
-        if (!isService(candidate) || ofJob == 0) return null
-        return disruptions.refusal(candidate.job, ofJob + units)
-    }
-
-    private fun whyNone(choice: Choice, open: List<Machine>): Decision {
+    private fun whyNone(choice: StopChoice, open: List<Machine>): Decision {
         val refusal = choice.refusal
         val left = open.sumOf { it.placements.size }
         if (refusal == null) return Decision.Wait("$left tasks end, save or move")
-        val isService = open.any { machine -> machine.placements.values.any { isService(it) } }
+        val isService = open.any { machine -> machine.placements.values.any { it.isReplica } }
         if (refusal is BudgetRefusal.Never)
             return if (isService) Decision.Pause(PauseReason.BUDGET, refusal.text)
             else Decision.Wait("$left tasks end by themselves: ${refusal.text}")
@@ -263,7 +216,7 @@
     }
 
     private fun stop(placement: Placement) {
-        val units = unitsOf(placement)
+        val units = placement.stoppedTogether
         // What counts as disrupted already takes nothing more of the budget.
         val more = units.count { !disruptions.isLost(it) }
         if (more > 0 && disruptions.refusal(placement.job, more) != null) return
@@ -272,13 +225,6 @@
         stopper.stop(placement, DRAINED)
     }
 
-    /** A gang is stopped as one. */
-    private fun unitsOf(placement: Placement): List<Placement> =
-        if (placement.job.spec.isGang) placement.job.placements.values.toList()
-        else listOf(placement)
-
-    private fun units(placement: Placement) = unitsOf(placement).size
-
     private fun settle(record: DrainRecord, step: DrainStep): Decision {
         val moving = stillMoving(step)
         if (moving.isNotEmpty())
@@ -327,24 +273,14 @@
     private fun isStoppable(placement: Placement) =
         placement.committed && placement.status != null && !placement.halting && !placement.job.over
 
-    private fun isService(placement: Placement) = placement.job.spec.shape == Shape.DAEMON
-
     private fun remaining(placement: Placement): Micros {
         val whole = cluster.estimates.runTime(placement.job.spec)
         val since = placement.runningSince ?: return whole
         return whole - (context.now - since)
     }
 
-    /** Run time that stopping it throws away. */
-    private fun lost(placement: Placement): Micros {
-        val since = placement.runningSince ?: return Micros.ZERO
-        val spec = placement.job.spec
-        return if (spec.savable || isService(placement)) spec.saveS.secs else context.now - since
-    }
-
     private companion object {
         const val DRAINED = "its machine is drained"
-        const val MOST_AT_ONCE = 64
         val URGENT_PATIENCE = 1.secs
         const val BOOTS_WAITED = 3.0
         val ROOM_PATIENCE = 30.secs
--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -387,9 +387,8 @@
         val looked = cluster.due.iterator()
         while (looked.hasNext() && mayAsk) {
             val machine = looked.next()
-            // One at a time: looked at again when that one is over. Nor is one tried without a
-            // pause
-            // to which there is no connection: where a whole zone is cut off, such attempts would
+            // One at a time: looked at again when that one is over. Nor is one to which there is no
+            // connection tried without a pause: where a whole zone is cut off, such attempts would
             // hold up the commands to all others.
             val pausing = context.now - machine.unconnectedAt < UNCONNECTED_PAUSE
             if (machine.directBusy || pausing) continue
--- a/src/main/kotlin/wardmux/fleet/FleetHealth.kt
+++ b/src/main/kotlin/wardmux/fleet/FleetHealth.kt
@@ -170,8 +170,7 @@
             for (id in unknown) if (cluster.holdsCancelled(id)) decommissionUnknown(id)
         }
         // Where most machines have found this leader, it is not for it that the rest are silent.
-        // Not
-        // before a lease is over: one that is back by then is worth more than its tasks' time.
+        // Not before a lease is over: one that is back by then is worth more than its tasks' time.
         val up = cluster.machines.values.count { it.up }
         val few = (unheard.size + unknown.size) * 2 <= up
         val due = if (few) maxOf(workers.leaseS.secs, lostAfter) + REPORT_TIME else patience
--- a/src/main/kotlin/wardmux/lead/LeaderSession.kt
+++ b/src/main/kotlin/wardmux/lead/LeaderSession.kt
@@ -7,7 +7,6 @@
 import wardmux.Stamp
 import wardmux.app.OperatorSettings
 import wardmux.app.PlatformSettings
-import wardmux.app.SocketBudget
 import wardmux.cloud.CapacityDemand
 import wardmux.cloud.CloudClient
 import wardmux.cloud.MachineDrainer
@@ -113,7 +112,7 @@
             ::mayRenew,
             cancellations::contains,
             uninformedFor,
-            SocketBudget(facts.limits.fdLimit).directCommands,
+            facts.limits.sockets.directCommands,
         )
     private val relays =
         Relays(
--- a/src/main/kotlin/wardmux/relay/Relays.kt
+++ b/src/main/kotlin/wardmux/relay/Relays.kt
@@ -6,7 +6,6 @@
 import wardmux.Token
 import wardmux.app.LimitFacts
 import wardmux.app.OperatorSettings
-import wardmux.app.SocketBudget
 import wardmux.app.WorkerFacts
 import wardmux.dispatch.Cluster
 import wardmux.fleet.Fleet
@@ -67,7 +66,7 @@
         private set
 
     private val alone = !hasSiblings
-    private val sockets = SocketBudget(limits.fdLimit)
+    private val sockets = limits.sockets
 
     /** It was decided whether they go on. */
     private var settled = false
--- a/src/test/kotlin/wardmux/drain/DrainFaultsTest.kt
+++ b/src/test/kotlin/wardmux/drain/DrainFaultsTest.kt
@@ -199,6 +199,30 @@
         day.check()
     }
 
+    @Test
+    fun `a worker lost otherwise pauses the step, and its return lets it go on`() {
+        val day = DrainDay(10)
+        // Once one of two replicas is moved, its machine has no room for what is lost elsewhere.
+        day.begin(day.service(0, 2, cpus = 7.0), day.service(0, 1, cpus = 14.0))
+        val first = day.workers().first { it.tasksThere == 2 }
+        val second = day.workers().first { it.tasksThere == 1 }
+        day.start(DrainRequest("d1", DrainSelector(machines = listOf(first.id))))
+        day.runUntil(60.secs, "a stop") { day.losses.stops.isNotEmpty() }
+        assertEquals(200, day.steer(DrainApi.PAUSE))
+        day.simulation.run(day.clock.now + 20.secs)
+        assertTrue(first.tasksThere > 0, "nothing is left to be moved")
+        // What was there finds no machine for a while.
+        day.simulation.cloud.stillborn = 1.0
+        day.simulation.cloud.kill(second)
+        day.simulation.run(day.clock.now + 20.secs)
+        assertEquals(200, day.steer(DrainApi.RESUME))
+        day.runUntil(30.secs, "it pauses") { day.stored()?.reason == PauseReason.LOSS }
+        assertTrue("workers are disrupted" in day.stored()?.note.orEmpty())
+        day.simulation.cloud.stillborn = 0.0
+        day.runUntilDone()
+        day.checkBudgets()
+    }
+
     @Test
     fun `a wave of spot machines taken back during a drain of spot machines`() {
         val day = DrainDay(11)
--- a/src/test/kotlin/wardmux/drain/DrainOperationsTest.kt
+++ b/src/test/kotlin/wardmux/drain/DrainOperationsTest.kt
@@ -47,6 +47,22 @@
         assertEquals(4, service.tasks)
     }
 
+    @Test
+    fun `machines of a cancelled drain take tasks again`() {
+        val day = DrainDay(7, capacity = 1)
+        day.begin(day.service(0, 2, cpus = 4.0), day.service(1, 2, cpus = 4.0))
+        val busy = day.workers().first { it.tasksThere > 1 }.id
+        day.start(DrainRequest("d1", DrainSelector(machines = listOf(busy))))
+        day.runUntilStep(StepPhase.EMPTYING)
+        val machines = day.stored()?.step?.machines.orEmpty()
+        assertEquals(200, day.steer(DrainApi.CANCEL))
+        // More than all other machines hold.
+        for (team in 0..2) day.submit(day.array(team, 16, 200.0).copy(spot = true))
+        val left = day.workers().filter { it.id in machines }
+        assertTrue(left.isNotEmpty())
+        day.runUntil(60.secs, "it takes tasks") { left.all { it.view().freeCpus < 3.0 } }
+    }
+
     @Test
     fun `a drain that is cancelled before its first step, while paused, and when done`() {
         val closed = WindowSettings("FREQ=YEARLY", "03:00", 3600.0, "1971-01-01")
