--- a/src/test/kotlin/wardmux/drain/DrainSimulationTest.kt
+++ b/src/test/kotlin/wardmux/drain/DrainSimulationTest.kt
@@ -1,5 +1,6 @@
 package wardmux.drain
 
+import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import org.junit.jupiter.params.ParameterizedTest
@@ -23,6 +24,16 @@
         assertEquals(day.drained.size, day.stored()?.returned)
     }
 
+    @Test
+    fun `a drain that goes beyond a budget is caught by the workers' records`() {
+        val day = DrainDay(4, DrainSettings(budget = BudgetSettings(3, stepPauseS = 1.0)))
+        day.begin(day.service(0, 6)).start()
+        day.runUntilDone()
+        day.check()
+        assertEquals(3, day.losses.peakOf("team-0"))
+        assertTrue(day.losses.beyond({ 2 }, 9.secs).isNotEmpty())
+    }
+
     @ParameterizedTest
     @MethodSource("seeds")
     fun `no rule is broken and no budget passed, whatever fails`(seed: Long) {
