Drains: logic that stood twice has one place each

Cause: reading the change once more. A record's holder and time were put in by two callers, going on from a pause, yielding to urgent work and the request's encoding stood twice, a start was decoded twice, marks were derived a second time in a tick in which no record can have changed, and one name said the opposite of what it asked.

Change: DrainStore stamps what it writes; DrainRecord.unpaused, StepExecutor.reasonToYield, DrainDesk.decode and DrainOptions.body serve both places; the second marking, an unused stamp and a second epsilon are gone. Behaviour is meant to be the same, and no test changed.

--- a/src/main/kotlin/wardmux/drain/DrainCommand.kt
+++ b/src/main/kotlin/wardmux/drain/DrainCommand.kt
@@ -227,8 +227,11 @@
     )
     var atDeadline: String = "pause"
 
-    /** The request; throws if a word is none of those that an option takes. */
-    fun request(spec: CommandSpec) =
+    /** The request as it is sent; throws if a word is none of those that an option takes. */
+    fun body(spec: CommandSpec): String =
+        operatorJson.encodeToString(DrainRequest.serializer(), request(spec))
+
+    private fun request(spec: CommandSpec) =
         DrainRequest(
             id,
             select.selector(),
@@ -257,8 +260,7 @@
     @Mixin lateinit var drain: DrainOptions
 
     override fun call(): Int {
-        val request = drain.request(spec)
-        val body = operatorJson.encodeToString(DrainRequest.serializer(), request)
+        val body = drain.body(spec)
         return ask("POST", "", body, DrainStatus.serializer(), DrainText::status)
     }
 }
@@ -273,8 +275,7 @@
     @Mixin lateinit var drain: DrainOptions
 
     override fun call(): Int {
-        val request = drain.request(spec)
-        val body = operatorJson.encodeToString(DrainRequest.serializer(), request)
+        val body = drain.body(spec)
         return ask("POST", "/${DrainApi.CHECK}", body, DrainCheck.serializer(), DrainText::check)
     }
 }
--- a/src/main/kotlin/wardmux/drain/DrainDesk.kt
+++ b/src/main/kotlin/wardmux/drain/DrainDesk.kt
@@ -83,27 +83,27 @@
             settings.budgetOf(team).leastReplicas,
         )
 
-    /** The request in [body], or null once [answer] has said what is wrong with it. */
-    private fun read(body: ByteArray, answer: (OperatorAnswer) -> Unit): DrainRequest? {
-        val request =
-            try {
-                operatorJson.decodeFromString(DrainRequest.serializer(), body.decodeToString())
-            } catch (e: SerializationException) {
-                answer(OperatorAnswers.malformed(e.message.orEmpty().lineSequence().first()))
-                return null
-            }
-        val problem =
-            DrainRequests.problem(request, context.wall)
-                ?: selection.problem(request.select, types(), zones)
-        if (problem != null) answer(OperatorAnswers.malformed(problem))
-        return if (problem == null) request else null
-    }
+    /** The request in [body], or null once [answer] has said that there is none. */
+    private fun decode(body: ByteArray, answer: (OperatorAnswer) -> Unit): DrainRequest? =
+        try {
+            operatorJson.decodeFromString(DrainRequest.serializer(), body.decodeToString())
+        } catch (e: SerializationException) {
+            answer(OperatorAnswers.malformed(e.message.orEmpty().lineSequence().first()))
+            null
+        }
+
+    private fun problem(request: DrainRequest): String? =
+        DrainRequests.problem(request, context.wall)
+            ?: selection.problem(request.select, types(), zones)
 
     private fun start(body: ByteArray, answer: (OperatorAnswer) -> Unit) {
+        val request = decode(body, answer) ?: return
         // A repeat of a start is the same drain, also where its machines are gone by now.
-        val known = DrainRequests.idIn(body)?.let { drains[it] }
+        val known = drains[request.id]
         if (known != null) return answer(OperatorAnswers.status(HttpStatus.OK, statusOf(known)))
-        val request = read(body, answer) ?: return
+        problem(request)?.let {
+            return answer(OperatorAnswers.malformed(it))
+        }
         // Machines that are not listed yet would be left out for good.
         if (!isListed()) return answer(OperatorAnswers.UNAVAILABLE)
         if (request.id in drains.unreadableIds)
@@ -126,7 +126,10 @@
     }
 
     private fun check(body: ByteArray, answer: (OperatorAnswer) -> Unit) {
-        val request = read(body, answer) ?: return
+        val request = decode(body, answer) ?: return
+        problem(request)?.let {
+            return answer(OperatorAnswers.malformed(it))
+        }
         val targets = selection.targets(request, selection.newest)
         if (targets.isEmpty())
             return answer(OperatorAnswers.malformed("select: no machine is selected"))
@@ -172,15 +175,13 @@
     /** One that is past its deadline goes on without it. */
     private fun resumed(record: DrainRecord): DrainRecord {
         if (record.state != DrainState.PAUSED && !record.state.isFinal) return record
-        val state = if (record.step == null) DrainState.PLANNED else DrainState.RUNNING
         val past = record.reason == PauseReason.DEADLINE
         val request = if (past) record.request.copy(deadline = null) else record.request
-        return record.copy(state = state, reason = null, note = "", request = request)
+        return record.copy(request = request).unpaused()
     }
 
     private fun write(record: DrainRecord, status: Int, answer: (OperatorAnswer) -> Unit) {
-        val next = record.copy(token = token.value, changedAt = context.wall.value)
-        drains.write(next) { outcome ->
+        drains.write(record) { next, outcome ->
             if (outcome == DrainWrite.WRITTEN)
                 answer(OperatorAnswers.status(status, statusOf(next)))
             else answer(OperatorAnswers.UNAVAILABLE)
@@ -237,12 +238,4 @@
             else -> null
         }
     }
-
-    /** The id in a request, also in one that is wrong otherwise; null if there is none. */
-    fun idIn(body: ByteArray): String? =
-        try {
-            operatorJson.decodeFromString(DrainRequest.serializer(), body.decodeToString()).id
-        } catch (e: SerializationException) {
-            null
-        }
 }
--- a/src/main/kotlin/wardmux/drain/DrainManager.kt
+++ b/src/main/kotlin/wardmux/drain/DrainManager.kt
@@ -4,7 +4,6 @@
 import java.time.ZoneId
 import wardmux.CoreContext
 import wardmux.Micros
-import wardmux.Token
 import wardmux.dispatch.Cluster
 import wardmux.fleet.Machine
 import wardmux.fleet.Maintenance
@@ -25,7 +24,6 @@
     private val executor: StepExecutor,
     private val plans: PlanDesk,
     private val settings: DrainSettings,
-    private val token: Token,
     /** All machines are known, so that one which is not is gone. */
     private val knowsAllMachines: () -> Boolean,
 ) {
@@ -61,7 +59,6 @@
         disruptions.count()
         mark(active)
         for (record in active) if (!drains.isBusy(record.request.id)) advance(record)
-        mark(drains.all.filter { !it.state.isFinal })
     }
 
     /** Nothing is left of an earlier reading; the marks are made anew from what is read next. */
@@ -128,7 +125,7 @@
     }
 
     private fun goingOn(record: DrainRecord): DrainRecord {
-        val next = record.cleared()
+        val next = record.copy(reason = null, note = "")
         return if (next.state.isFinal) next else next.copy(state = DrainState.RUNNING)
     }
 
@@ -191,8 +188,8 @@
     }
 
     private fun reasonToWait(record: DrainRecord, targets: List<Machine>): String? {
-        executor.urgentWaiting(targets)?.let {
-            return "urgent ${it.id} of ${it.spec.team} waits for room and goes first"
+        executor.reasonToYield(targets)?.let {
+            return it
         }
         val at = MaintenanceWindows.instantOf(context.wall)
         if (windows.isOpenFor(at, expectedLength(record))) return null
@@ -214,7 +211,7 @@
         }
         for (placement in moving.distinctBy { it.job.id }) {
             val refusal = disruptions.refusal(placement.job, 1) as? BudgetRefusal.NotNow ?: continue
-            return if (teamsOfOtherSteps(placement.job.spec.team)) Decision.Wait(refusal.text)
+            return if (isInAnyStep(placement.job.spec.team)) Decision.Wait(refusal.text)
             else Decision.Pause(PauseReason.LOSS, refusal.text)
         }
         return null
@@ -225,7 +222,7 @@
         for (team in teams) {
             val pause = settings.budgetOf(team).stepPauseS.secs
             if (pause == Micros.ZERO) continue
-            if (teamsOfOtherSteps(team)) return "another step that disrupts $team is under way"
+            if (isInAnyStep(team)) return "another step that disrupts $team is under way"
             val since = context.wall - Micros(last)
             if (last > 0 && since < pause)
                 return "the pause between two steps of $team, ${(pause - since).seconds.toInt()} s"
@@ -234,7 +231,7 @@
     }
 
     /** A step of some drain that is under way holds workers of [team]. */
-    private fun teamsOfOtherSteps(team: String): Boolean =
+    private fun isInAnyStep(team: String): Boolean =
         drains.steps.any { step ->
             executor.stillMoving(step).any { executor.teamOf(it) == team } ||
                 executor.present(step).any { machine ->
@@ -258,22 +255,18 @@
 
     private fun goOn(record: DrainRecord) {
         if (isTooSoon(record)) return
-        val state = if (record.step == null) DrainState.PLANNED else DrainState.RUNNING
-        write(record.copy(state = state).cleared())
+        write(record.unpaused())
     }
 
     /** A pause that comes and goes with single losses is not written each time. */
     private fun isTooSoon(record: DrainRecord) =
         context.wall.value - record.changedAt < LEAST_BETWEEN_CHANGES.value
 
-    private fun DrainRecord.cleared() = copy(reason = null, note = "")
-
     private val DrainRecord.pausedByItself: Boolean
         get() = state == DrainState.PAUSED && reason?.endsByItself == true
 
     private fun write(record: DrainRecord) {
-        val next = record.copy(token = token.value, changedAt = context.wall.value)
-        drains.write(next) { outcome -> if (outcome == DrainWrite.WRITTEN) written(next) }
+        drains.write(record) { next, outcome -> if (outcome == DrainWrite.WRITTEN) written(next) }
     }
 
     private fun written(record: DrainRecord) {
--- a/src/main/kotlin/wardmux/drain/DrainRecord.kt
+++ b/src/main/kotlin/wardmux/drain/DrainRecord.kt
@@ -128,6 +128,12 @@
     /** How long the last step took, in microseconds. */
     @SerialName("last_step") val lastStep: Long = 0,
 ) {
+    /** The same going on from a pause. */
+    fun unpaused(): DrainRecord {
+        val state = if (step == null) DrainState.PLANNED else DrainState.RUNNING
+        return copy(state = state, reason = null, note = "")
+    }
+
     /** The value as it is stored. */
     fun toJson(): JsonElement = lenientJson.encodeToJsonElement(serializer(), this)
 
--- a/src/main/kotlin/wardmux/drain/DrainStore.kt
+++ b/src/main/kotlin/wardmux/drain/DrainStore.kt
@@ -39,7 +39,7 @@
 ) {
     private val log = logger<DrainStore>()
     private val drains = sortedMapOf<String, StoredDrain>()
-    private val unreadable = sortedMapOf<String, Long>()
+    private val unreadable = sortedSetOf<String>()
     private val writing = HashMap<String, DrainRecord>()
     private var readAt = Micros.LONG_AGO
     private var reading = false
@@ -57,7 +57,7 @@
 
     /** Ids of drains whose record this version can't read. */
     val unreadableIds: Set<String>
-        get() = unreadable.keys
+        get() = unreadable
 
     /** The largest record that can be stored. */
     val maxBytes: Int
@@ -94,7 +94,7 @@
             for (item in found.items) {
                 val record = item.data
                 val id = item.key.removePrefix(DrainRecord.PREFIX)
-                if (record == null) unreadable[id] = item.stamp
+                if (record == null) unreadable.add(id)
                 else drains[id] = StoredDrain(record, item.stamp)
             }
             isRead = true
@@ -102,8 +102,12 @@
         }
     }
 
-    /** Writes [record] over what is known of it; [then] is told what became of that. */
-    fun write(record: DrainRecord, then: (DrainWrite) -> Unit) {
+    /**
+     * Writes [changed] over what is known of it, with its holder and the time; [then] gets what was
+     * written and what became of that.
+     */
+    fun write(changed: DrainRecord, then: (DrainRecord, DrainWrite) -> Unit) {
+        val record = changed.copy(token = role.token.value, changedAt = context.wall.value)
         val id = record.request.id
         val mine = generation
         writing[id] = record
@@ -112,10 +116,10 @@
         val conditions = listOf(role.condition, Condition(key, stamp))
         val change = Change(put = key, data = record.toJson())
         store.multi(conditions, listOf(change), Priority.LEADER) { result ->
-            if (mine != generation) return@multi then(DrainWrite.UNKNOWN)
+            if (mine != generation) return@multi then(record, DrainWrite.UNKNOWN)
             writing.remove(id)
             if (result is Result.Ok) drains[id] = StoredDrain(record, result.value)
-            then(outcome(result))
+            then(record, outcome(result))
         }
     }
 
--- a/src/main/kotlin/wardmux/drain/LeaderDrains.kt
+++ b/src/main/kotlin/wardmux/drain/LeaderDrains.kt
@@ -65,7 +65,6 @@
             executor,
             plans,
             settings,
-            environment.role.token,
             ::knowsAllMachines,
         )
 
--- a/src/main/kotlin/wardmux/drain/PlanDesk.kt
+++ b/src/main/kotlin/wardmux/drain/PlanDesk.kt
@@ -47,10 +47,7 @@
             machine.zone,
             moving.sumOf { it.job.spec.cpus },
             moving.groupingBy { it.job.spec.team }.eachCount(),
-            moving
-                .filter { it.job.spec.shape == Shape.DAEMON }
-                .groupingBy { it.job.id.value }
-                .eachCount(),
+            moving.filter { it.isReplica }.groupingBy { it.job.id.value }.eachCount(),
         )
     }
 
--- a/src/main/kotlin/wardmux/drain/SeatFinder.kt
+++ b/src/main/kotlin/wardmux/drain/SeatFinder.kt
@@ -1,5 +1,6 @@
 package wardmux.drain
 
+import wardmux.cloud.MachineType
 import wardmux.dispatch.Cluster
 import wardmux.dispatch.Eligibility
 import wardmux.dispatch.Job
@@ -52,9 +53,9 @@
     private fun takes(machine: Machine, room: Room, job: Job, zones: Map<String, Int>): Boolean {
         val spec = job.spec
         return eligibility.allowed(spec, machine) &&
-            spec.cpus <= room.cpus + SLACK &&
-            spec.gpus <= room.gpus + SLACK &&
-            spec.memoryGb <= room.memoryGb + SLACK &&
+            spec.cpus <= room.cpus + MachineType.EPSILON &&
+            spec.gpus <= room.gpus + MachineType.EPSILON &&
+            spec.memoryGb <= room.memoryGb + MachineType.EPSILON &&
             eligibility.mayGoTo(machine.zone, spec, zones)
     }
 
@@ -63,8 +64,4 @@
         room.gpus -= job.spec.gpus
         room.memoryGb -= job.spec.memoryGb
     }
-
-    private companion object {
-        const val SLACK = 1e-6
-    }
 }
--- a/src/main/kotlin/wardmux/drain/StepExecutor.kt
+++ b/src/main/kotlin/wardmux/drain/StepExecutor.kt
@@ -78,6 +78,12 @@
                 machines.any { couldTake(it, job) }
         }
 
+    /** That work goes first on these machines, as operators read it, or null. */
+    fun reasonToYield(machines: List<Machine>): String? =
+        urgentWaiting(machines)?.let {
+            "urgent ${it.id} of ${it.spec.team} waits for room and goes first"
+        }
+
     private fun couldTake(machine: Machine, job: Job): Boolean {
         val spec = job.spec
         return !machine.decommissioned &&
@@ -88,8 +94,8 @@
 
     private fun prepare(record: DrainRecord, step: DrainStep): Decision {
         val machines = present(step)
-        urgentWaiting(machines)?.let {
-            return yieldTo(it)
+        reasonToYield(machines)?.let {
+            return Decision.Wait(it)
         }
         val moving = machines.flatMap { tasksToMove(it, record.request) }
         val unseated = seats.unseated(moving)
@@ -147,17 +153,14 @@
         )
     }
 
-    private fun yieldTo(job: Job) =
-        Decision.Wait("urgent ${job.id} of ${job.spec.team} waits for room and goes first")
-
     private fun empty(record: DrainRecord, step: DrainStep): Decision {
         val machines = present(step)
         for (machine in machines) if (isEmpty(machine)) decommission(machine, DRAINED)
         if (machines.isEmpty()) return settling(record, step)
         val open = machines.filter { !it.decommissioned }
         if (open.isEmpty()) return Decision.Wait("${machines.size} machines are being returned")
-        urgentWaiting(open)?.let {
-            return yieldTo(it)
+        reasonToYield(open)?.let {
+            return Decision.Wait(it)
         }
         stopIntended(step)
         return stopMore(record, step, open)
