--- a/src/main/kotlin/wardmux/app/Controller.kt
+++ b/src/main/kotlin/wardmux/app/Controller.kt
@@ -27,6 +27,8 @@
 import wardmux.relay.Relay
 import wardmux.relay.RelayCodec
 import wardmux.relay.StoreRelayClient
+import wardmux.renewal.LeaseRenewals
+import wardmux.renewal.RenewalCounters
 import wardmux.secs
 import wardmux.store.StateStore
 
@@ -55,6 +57,8 @@
         ) {
             term?.cancelled(it)
         }
+    private val renewalCounters = RenewalCounters(context)
+    private val renewals = LeaseRenewals(context, renewalCounters)
     private val peers = Peers(context, platform.member, siblings, cancellations)
     private val reader = ReportReader(platform.facts.limits.reportCacheBytes)
     private val intake =
@@ -82,6 +86,8 @@
             platform.member,
             boot,
             platform.facts.workers,
+            cancellations,
+            renewals,
             StoreRelayClient(context, store, platform.member),
             platform.siblings.size,
             platform.facts.limits.sockets.workers,
@@ -109,6 +115,7 @@
                 reader,
                 intake::learnFinal,
                 cancellations,
+                renewals,
                 peers::hearsOthers,
             )
     }
@@ -143,6 +150,7 @@
         types.tick(leading = term != null)
         term?.tick()
         relay.tick()
+        renewalCounters.tick()
         val role = leadership.role as? Role.Leader
         val wantsRelays = term?.wantsRelays == true
         peers.tick(role?.token, wantsRelays, store.answeredAt) { term?.progress().orEmpty() }
--- a/src/main/kotlin/wardmux/app/Daemon.kt
+++ b/src/main/kotlin/wardmux/app/Daemon.kt
@@ -71,21 +71,21 @@
      * it is tried again once in a while. Blocks until [api] is closed.
      */
     private fun listenForOperators(api: Channel) {
-        var bound = bindOperators()
+        var bound = bindOperators(isRetry = false)
         while (!api.closeFuture().await(OPERATORS_RETRY_S, TimeUnit.SECONDS)) {
-            if (!bound) bound = bindOperators()
+            if (!bound) bound = bindOperators(isRetry = true)
         }
     }
 
     /** True if nothing is left to bind. */
-    private fun bindOperators(): Boolean {
+    private fun bindOperators(isRetry: Boolean): Boolean {
         val address = operators.drain?.listener ?: return true
         try {
             bind(address, Port.OPERATOR)
             log.info("{} listens for operators on {}", platform.member, address)
             return true
         } catch (e: BindException) {
-            log.error("drain.address {} can't be listened on: {}", address, e.message)
+            if (!isRetry) log.warn("drain.address {} can't be listened on: {}", address, e.message)
             return false
         }
     }
--- a/src/main/kotlin/wardmux/cloud/Provisioner.kt
+++ b/src/main/kotlin/wardmux/cloud/Provisioner.kt
@@ -74,19 +74,21 @@
             listAt = context.now + facts.listLagS.secs
             if (result is CloudResult.Ok) {
                 listed = true
-                for (entry in result.value) take(entry)
+                val unknown = result.value.count { take(it) }
+                if (unknown > 0) log.info("{} machines are listed that were not known", unknown)
             }
         }
     }
 
-    private fun take(entry: ListedMachine) {
+    /** True if the machine was not known. */
+    private fun take(entry: ListedMachine): Boolean {
         val id = MachineId(entry.id)
-        if (id in fleet.gone) return
+        if (id in fleet.gone) return false
         val known = cluster.machines[id]
-        val machine = known ?: fleet.machine(id, entry.type, entry.zone, entry.spot) ?: return
+        val machine = known ?: fleet.machine(id, entry.type, entry.zone, entry.spot) ?: return false
         machine.onlyStaleReports = false
         machine.listed(context.wall, entry.heldS.secs)
-        if (known == null) log.info("{} is listed as {} and was not known", id, entry.status)
+        if (known == null) log.debug("{} is listed as {} and was not known", id, entry.status)
         when (entry.status) {
             "failed" -> {
                 // It stopped by itself: nothing runs there.
@@ -99,6 +101,7 @@
                 if (!machine.up && entry.heldS > patience) decommission(machine, "does not come up")
             }
         }
+        return known == null
     }
 
     private fun deleteDecommissioned() {
--- a/src/main/kotlin/wardmux/dispatch/Cluster.kt
+++ b/src/main/kotlin/wardmux/dispatch/Cluster.kt
@@ -109,17 +109,31 @@
     /** Machines that records name and that nothing else has told of. */
     fun unheardOf(): Set<MachineId> = unplaced.keys
 
-    fun holdsCancelled(id: MachineId) =
-        unplaced[id].orEmpty().any { it.job.over && !it.job.finished }
+    /** All that may be on the machine, whether it has been heard of or not. */
+    fun placementsOn(id: MachineId): Collection<Placement> =
+        machines[id]?.placements?.values ?: unplaced[id].orEmpty()
+
+    fun holdsCancelled(id: MachineId) = unplaced[id].orEmpty().any { it.job.isCancelled }
 
     /** Something happened that may let a waiting task start. */
     fun changed() {
         changes++
     }
 
+    /** Its user may have been told from [since] on that the job is cancelled. */
+    fun cancel(job: Job, since: Micros) {
+        if (!job.over) job.cancelledSince = since
+        end(job)
+    }
+
+    /** The job's record says done. */
+    fun finish(job: Job) {
+        job.finished = true
+        end(job)
+    }
+
     /** Nothing of the job is to go on: what is left of it is taken down. */
-    fun end(job: Job) {
-        if (!job.over) job.overAt = context.now
+    private fun end(job: Job) {
         job.over = true
         for (placement in job.placements.values) machines[placement.machine]?.let { due.add(it) }
     }
--- a/src/main/kotlin/wardmux/dispatch/Job.kt
+++ b/src/main/kotlin/wardmux/dispatch/Job.kt
@@ -79,12 +79,18 @@
     /** Cancelled or done: nothing starts any more, and what is left is taken down. */
     var over = false
 
-    /** When this leader learned that it is over. */
-    var overAt = Micros.LONG_AGO
+    /**
+     * The earliest moment at which a user may have been told that it is cancelled. Not when this
+     * leader learned of it: a succession of leaders must not begin the time anew.
+     */
+    var cancelledSince = Micros.LONG_AGO
 
     /** The record says done. */
     var finished = false
 
+    val isCancelled: Boolean
+        get() = over && !finished
+
     /** Nothing that is stored of it says any more that something may be on a machine. */
     val settled: Boolean
         get() = over && placements.isEmpty() && pageStamps.isEmpty() && (finished || unlisted)
--- a/src/main/kotlin/wardmux/dispatch/PlacementStore.kt
+++ b/src/main/kotlin/wardmux/dispatch/PlacementStore.kt
@@ -337,8 +337,7 @@
             for (placement in written.planned) written.job.commit(placement)
         }
         for (job in draft.finishing) {
-            job.finished = true
-            cluster.end(job)
+            cluster.finish(job)
             listener.finished(job)
         }
         for (machine in draft.decommissioning) {
--- a/src/main/kotlin/wardmux/fleet/Fleet.kt
+++ b/src/main/kotlin/wardmux/fleet/Fleet.kt
@@ -1,7 +1,7 @@
 package wardmux.fleet
 
 import wardmux.CoreContext
-import wardmux.JobId
+import wardmux.HttpStatus
 import wardmux.MachineId
 import wardmux.Micros
 import wardmux.Outcome
@@ -14,6 +14,10 @@
 import wardmux.dispatch.Cluster
 import wardmux.dispatch.TaskStopper
 import wardmux.logger
+import wardmux.renewal.LeaderKnowledge
+import wardmux.renewal.LeaseRenewals
+import wardmux.renewal.RenewalDecision
+import wardmux.renewal.WithholdingReason
 import wardmux.secs
 import wardmux.store.lenientJson
 
@@ -29,17 +33,12 @@
     private val leaseIsValid: () -> Boolean,
     /** Since when this leader has not been sure of its lease, or null. */
     private val leaseUncertainSince: () -> Micros?,
-    private val loaded: () -> Boolean,
+    private val renewals: LeaseRenewals,
+    private val knowledge: LeaderKnowledge,
     private val decommission: (Machine, String) -> Unit,
     private val seen: (Token) -> Unit,
     /** Whom a worker that reports here is to be sent to, or null if it stays. */
     private val sendAway: () -> String?,
-    /** False while this leader may keep nothing alive: it may not know what was cancelled. */
-    private val mayRenew: () -> Boolean,
-    /** Users were told lately that the job is cancelled. */
-    private val isCancelled: (JobId) -> Boolean,
-    /** How long a lease may be renewed with something on the machine that was cancelled. */
-    private val cancelledFor: Micros,
     /** Direct commands and probes that may be under way at once. */
     private val mostDirect: Int,
 ) {
@@ -62,20 +61,39 @@
 
     /** A report that came to this controller itself. */
     fun handleReport(call: Long, report: Report) {
-        if (MachineId(report.machine) in gone) return context.answer(call, 503)
-        val machine = reporting(report) ?: return answer(call, emptyList())
-        if (!mayAnswer(machine, report)) return context.answer(call, 503)
-        if (sendOn(machine)) return context.answer(call, 421)
-        sendAway()?.let {
-            return context.answerBytes(call, 421, Redirect(it).encode())
+        if (MachineId(report.machine) in gone) {
+            return context.answer(call, HttpStatus.SERVICE_UNAVAILABLE)
         }
-        // Not renewed, but heard: what it shows is as good as ever, a new session above all.
-        if (!mayRenew()) {
-            takeIn(machine, report, null, context.now)
-            return context.answerBytes(call, 200, ReportResponse.DROPPED)
+        val machine = reporting(report)
+        if (machine != null) {
+            if (isGivenUp(machine, report)) {
+                return context.answer(call, HttpStatus.SERVICE_UNAVAILABLE)
+            }
+            if (sendOn(machine)) return context.answer(call, HttpStatus.MISDIRECTED_REQUEST)
+            sendAway()?.let {
+                return context.answerBytes(
+                    call,
+                    HttpStatus.MISDIRECTED_REQUEST,
+                    Redirect(it).encode(),
+                )
+            }
+        }
+        // Heard whether or not it is renewed: what it shows is as good as ever, a new session
+        // above all, and may be the proof that lets the lease run on.
+        val heard = machine != null && takeIn(machine, report, null, context.now)
+        when (val decision = renewals.decide(report, knowledge)) {
+            is RenewalDecision.Withhold -> {
+                if (machine != null) askForProof(machine, decision)
+                context.answerBytes(call, HttpStatus.OK, decision.answer)
+            }
+            is RenewalDecision.Renew -> {
+                machine?.renewedAt = context.now
+                val orders =
+                    if (machine != null && heard) orders(machine, report, starts = true)
+                    else emptyList()
+                context.answerBytes(call, HttpStatus.OK, decision.renewal.answer(orders))
+            }
         }
-        machine.renewedAt = context.now
-        answer(call, hear(machine, report, null, context.now))
     }
 
     /**
@@ -86,10 +104,31 @@
     fun relayed(report: Report, relay: String, sentAt: Micros): List<Order>? {
         if (MachineId(report.machine) in gone) return null
         val machine = reporting(report) ?: return emptyList()
-        // It was answered in any case, so its lease may run from here.
+        // It was perhaps renewed, so its lease may run from here.
         machine.renewedAt = context.now
-        if (!mayAnswer(machine, report)) return null
-        return hear(machine, report, relay, sentAt)
+        if (isGivenUp(machine, report)) return null
+        val heard = takeIn(machine, report, relay, sentAt)
+        val decision = renewals.decide(report, knowledge)
+        if (decision is RenewalDecision.Withhold) {
+            askForProof(machine, decision)
+            // Relays withhold it by themselves; those of an earlier version are to refuse it.
+            if (decision.reason == WithholdingReason.UNPROVEN) return null
+        }
+        if (!heard) return emptyList()
+        return if (knowledge.isLoaded) orders(machine, report, starts = false)
+        else haltsOfCancelled(report)
+    }
+
+    /**
+     * What it may hold of cancelled jobs is told to it directly: that needs no renewal, shows
+     * whether it is there, and makes the machine take this token, so that no earlier start counts.
+     */
+    private fun askForProof(machine: Machine, decision: RenewalDecision.Withhold) {
+        if (decision.reason != WithholdingReason.UNPROVEN || machine.directBusy) return
+        for (placement in machine.placements.values) {
+            if (placement.job.isCancelled) placement.haltSent = false
+        }
+        cluster.due.add(machine)
     }
 
     /** Null if nothing can be made of the machine. */
@@ -103,33 +142,10 @@
         return machine
     }
 
-    /** Not one that is given up: its lease is to end if its deletion takes long. */
-    private fun mayAnswer(machine: Machine, report: Report): Boolean {
+    /** True for one that is not answered: its lease is to end if its deletion takes long. */
+    private fun isGivenUp(machine: Machine, report: Report): Boolean {
         if (machine.decommissioned && isNewer(machine, report)) note(machine, report, context.now)
-        return !machine.decommissioned && !holdsCancelled(machine)
-    }
-
-    /**
-     * What is left on it of a cancelled job has outlasted its halts, or may be a start that is
-     * still under way: only the end of the session, or the machine's, stops that in time.
-     */
-    private fun holdsCancelled(machine: Machine) =
-        machine.placements.values.any {
-            it.job.over && !it.job.finished && context.now - it.job.overAt > cancelledFor
-        }
-
-    /** Of a report that is answered: that may renew the lease, also if it is no sign of life. */
-    private fun hear(
-        machine: Machine,
-        report: Report,
-        relay: String?,
-        heardAt: Micros,
-    ): List<Order> {
-        if (!takeIn(machine, report, relay, heardAt)) return emptyList()
-        // What is stored is being read, perhaps for long; of what was cancelled it is known
-        // already.
-        if (!loaded()) return haltsOfCancelled(report)
-        return orders(machine, report, starts = relay == null)
+        return machine.decommissioned
     }
 
     /** False if it shows nothing: late, a copy, or overtaken by a direct order's answer. */
@@ -137,16 +153,18 @@
         if (!isNewer(machine, report)) return false
         note(machine, report, heardAt)
         machine.via = relay
-        if (!loaded()) return true
+        if (!knowledge.isLoaded) return true
         reconcile(machine, report)
         proveAbsent(machine, report)
         return true
     }
 
+    /** While what is stored is being read, perhaps for long; cancellations are known already. */
     private fun haltsOfCancelled(report: Report) =
         report.tasks.mapNotNull { reported ->
             val task = TaskId.parse(reported.task)
-            val stop = reported.status != TaskStatus.ENDED && task != null && isCancelled(task.job)
+            val running = reported.status != TaskStatus.ENDED
+            val stop = running && task != null && knowledge.isCancelled(task.job)
             if (stop) Order.halt(reported.task, reported.attempt, 0.0) else null
         }
 
@@ -248,7 +266,7 @@
                 leaving &&
                     it.committed &&
                     it.shownTick != report.tick &&
-                    (it.name to it.attempt) !in machine.loose
+                    it.attemptOfTask !in machine.loose
             }
         for (placement in absent) cluster.release(placement, "not on the machine")
     }
@@ -313,6 +331,7 @@
 
     private fun orders(machine: Machine, report: Report, starts: Boolean): List<Order> {
         val orders = ArrayList<Order>()
+        if (!knowledge.isLoaded) return orders
         for (reported in report.tasks) {
             if (reported.status == TaskStatus.ENDED) {
                 if (mayForget(machine, reported)) {
@@ -392,8 +411,8 @@
             // hold up the commands to all others.
             val pausing = context.now - machine.unconnectedAt < UNCONNECTED_PAUSE
             if (machine.directBusy || pausing) continue
-            val reachable =
-                machine.confirmed && !machine.decommissioned && machine.endpoint.isNotEmpty()
+            val known = machine.confirmed || machine.holdsCancelled
+            val reachable = known && !machine.decommissioned && machine.endpoint.isNotEmpty()
             if (!reachable || machine.directBroken) {
                 looked.remove()
                 continue
@@ -409,8 +428,7 @@
         val orders = ArrayList<Order>()
         var waits = false
         for (placement in machine.placements.values) {
-            val leaving = placement.halting || placement.job.over
-            if (leaving && placement.status != null && !placement.haltSent) {
+            if (isHaltDue(machine, placement)) {
                 val within = if (placement.job.over) Micros.ZERO else placement.haltWithin
                 val seconds = (within ?: Micros.ZERO).seconds
                 orders.add(Order.halt(placement.name, placement.attempt, seconds))
@@ -423,13 +441,21 @@
         }
         for (placement in starts) {
             started(placement)
-            machine.loose.add(placement.name to placement.attempt)
+            machine.loose.add(placement.attemptOfTask)
             orders.add(Order.start(placement))
         }
         if (orders.isNotEmpty()) direct(machine, orders, starts)
         return waits
     }
 
+    /** Also one of a cancelled job that a machine which never took this token does not show. */
+    private fun isHaltDue(machine: Machine, placement: Placement): Boolean {
+        if (placement.haltSent) return false
+        val leaving = placement.halting || placement.job.over
+        val unproven = placement.job.isCancelled && !machine.confirmed
+        return leaving && (placement.status != null || unproven)
+    }
+
     private fun direct(machine: Machine, orders: List<Order>, starts: List<Placement>) {
         machine.directBusy = true
         machine.directSince = context.now
@@ -478,7 +504,7 @@
 
     private fun settled(machine: Machine, shift: Long, starts: List<Placement>) {
         if (machine.shift != shift) return
-        for (placement in starts) machine.loose.remove(placement.name to placement.attempt)
+        for (placement in starts) machine.loose.remove(placement.attemptOfTask)
     }
 
     private fun takeDirect(machine: Machine, response: Outcome.Response) {
@@ -487,21 +513,18 @@
         if (cluster.machines[machine.id] !== machine) return
         if (MachineId(report.machine) != machine.id || !isNewer(machine, report)) return
         note(machine, report, context.now)
-        if (loaded()) reconcile(machine, report)
+        if (knowledge.isLoaded) reconcile(machine, report)
     }
 
     /** A completed task is recorded before the only other place that knows of it forgets. */
     private fun mayForget(machine: Machine, reported: ReportedTask): Boolean {
-        if (reported.task to reported.attempt in machine.loose) return false
+        if (reported.attemptOfTask in machine.loose) return false
         if (reported.cause != "done") return machine.mayForget(reported, context.now, keepEnded)
         val task = TaskId.parse(reported.task) ?: return true
         val job = cluster.jobs[task.job] ?: return true
         return job.over || job.isRecorded(task.index)
     }
 
-    private fun answer(call: Long, orders: List<Order>) =
-        context.answerBytes(call, 200, ReportResponse(token.value, orders).encode())
-
     /**
      * A copy of a direct start may come late, and would start a forgotten attempt again: beside the
      * next one, or of a job that was cancelled since. What is done is not run again by it; all else
--- a/src/main/kotlin/wardmux/fleet/FleetHealth.kt
+++ b/src/main/kotlin/wardmux/fleet/FleetHealth.kt
@@ -139,7 +139,7 @@
     }
 
     private fun isLoose(machine: Machine, placement: Placement) =
-        placement.name to placement.attempt in machine.loose
+        placement.attemptOfTask in machine.loose
 
     private fun up() = cluster.machines.values.filter { it.up && !it.decommissioned }
 
--- a/src/main/kotlin/wardmux/fleet/Machine.kt
+++ b/src/main/kotlin/wardmux/fleet/Machine.kt
@@ -5,6 +5,7 @@
 import wardmux.cloud.MachineType
 import wardmux.intake.JobSpec
 import wardmux.intake.Shape
+import wardmux.renewal.TaskAttempt
 import wardmux.secs
 
 /** What a drain makes of a machine. */
@@ -86,14 +87,14 @@
      * from a report proves nothing, and they are not forgotten: a start that is carried out after
      * it would run the attempt once more.
      */
-    val loose = HashSet<Pair<String, Int>>()
+    val loose = HashSet<TaskAttempt>()
 
     /** Attempts that ended otherwise than done, the oldest first: when that was first reported. */
-    val endedSince = LinkedHashMap<Pair<String, Int>, Micros>()
+    val endedSince = LinkedHashMap<TaskAttempt, Micros>()
 
     /** True for one that ended more than [kept] ago, or for the oldest of very many. */
     fun mayForget(reported: ReportedTask, now: Micros, kept: Micros): Boolean {
-        val attempt = reported.task to reported.attempt
+        val attempt = reported.attemptOfTask
         val since = endedSince.getOrPut(attempt) { now }
         val many = endedSince.size > MOST_ENDED && endedSince.keys.first() == attempt
         if (!many && now - since <= kept) return false
@@ -165,7 +166,7 @@
 
     /** Something of a cancelled job may be here. */
     val holdsCancelled: Boolean
-        get() = placements.values.any { it.job.over && !it.job.finished }
+        get() = placements.values.any { it.job.isCancelled }
 
     /** The larger of the booked shares of CPU, GPU and memory. */
     val load: Double
--- a/src/main/kotlin/wardmux/fleet/Placement.kt
+++ b/src/main/kotlin/wardmux/fleet/Placement.kt
@@ -5,6 +5,7 @@
 import wardmux.TaskId
 import wardmux.dispatch.Charge
 import wardmux.dispatch.Job
+import wardmux.renewal.TaskAttempt
 
 /** A task that is, or may be, on a machine. Written before its start goes out. */
 class Placement(
@@ -20,6 +21,9 @@
     /** As workers name the task. */
     val name = task.toString()
 
+    val attemptOfTask: TaskAttempt
+        get() = TaskAttempt(name, attempt)
+
     /** Written, so the start may go out. */
     var committed = false
 
@@ -48,6 +52,10 @@
     /** It is being stopped: how long it may take to save. */
     var haltWithin: Micros? = null
 
+    /** A start of it may be on its way or was carried out, by this leader or by an earlier one. */
+    val mayBeStarted: Boolean
+        get() = restored || startedAt != null
+
     val halting: Boolean
         get() = haltWithin != null
 }
--- a/src/main/kotlin/wardmux/fleet/WorkerWire.kt
+++ b/src/main/kotlin/wardmux/fleet/WorkerWire.kt
@@ -2,6 +2,9 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import wardmux.Token
+import wardmux.renewal.LeaseRenewal
+import wardmux.renewal.TaskAttempt
 import wardmux.store.lenientJson
 
 @Serializable
@@ -23,6 +26,9 @@
     @SerialName("cause") val cause: String? = null,
     @SerialName("kept") val kept: Boolean = false,
 ) {
+    val attemptOfTask: TaskAttempt
+        get() = TaskAttempt(task, attempt)
+
     /** A state that this version doesn't know is taken for one in which the task runs. */
     val status: TaskStatus
         get() =
@@ -48,6 +54,10 @@
     @SerialName("recall_s") val recallS: Double? = null,
     @SerialName("pieces") val tasks: List<ReportedTask> = emptyList(),
 ) {
+    /** Whether [attempt] is on the machine, in whatever state. */
+    fun shows(attempt: TaskAttempt): Boolean =
+        tasks.any { it.task == attempt.task && it.attempt == attempt.attempt }
+
     companion object {
         /** Null if it is no report. */
         fun parse(body: ByteArray): Report? =
@@ -67,24 +77,39 @@
     @SerialName("try") val attempt: Int,
     @SerialName("letgo_s") val withinS: Double? = null,
 ) {
+    val attemptOfTask: TaskAttempt
+        get() = TaskAttempt(task, attempt)
+
     companion object {
+        const val HALT = "halt"
+
         fun start(p: Placement) = Order("start", p.task.toString(), p.attempt)
 
-        fun halt(task: String, attempt: Int, withinS: Double) =
-            Order("halt", task, attempt, withinS)
+        fun halt(task: String, attempt: Int, withinS: Double) = Order(HALT, task, attempt, withinS)
 
         fun forget(task: String, attempt: Int) = Order("forget", task, attempt)
     }
 }
 
+/**
+ * The answer to a report. One under a leader's token renews the lease, so it needs the right to.
+ */
 @Serializable
-data class ReportResponse(
-    @SerialName("baton") val token: Long,
-    @SerialName("orders") val orders: List<Order>,
+class ReportResponse
+private constructor(
+    @SerialName("baton") private val token: Long,
+    @SerialName("orders") private val orders: List<Order>,
 ) {
     fun encode(): ByteArray = lenientJson.encodeToString(serializer(), this).encodeToByteArray()
 
     companion object {
+        /** Renews the lease and carries [orders], among them the halts of [renewal]. */
+        fun renewing(renewal: LeaseRenewal, orders: List<Order>) =
+            ReportResponse(renewal.token.value, orders)
+
+        /** What a renewal without any order says; kept by [LeaseRenewals] for all of them. */
+        fun plain(token: Token): ByteArray = ReportResponse(token.value, emptyList()).encode()
+
         /** Under no leader's token: the worker drops it, and stays with this controller. */
         val DROPPED = ReportResponse(0, emptyList()).encode()
     }
--- a/src/main/kotlin/wardmux/lead/LeaderSession.kt
+++ b/src/main/kotlin/wardmux/lead/LeaderSession.kt
@@ -39,6 +39,8 @@
 import wardmux.relay.BatchAnswer
 import wardmux.relay.Relays
 import wardmux.relay.StoreRelayServer
+import wardmux.renewal.LeaderKnowledge
+import wardmux.renewal.LeaseRenewals
 import wardmux.secs
 import wardmux.store.Event
 import wardmux.store.Priority
@@ -62,6 +64,7 @@
     private val reader: ReportReader,
     private val learnFinal: (JobId, JobState) -> Unit,
     private val cancellations: Cancellations,
+    renewals: LeaseRenewals,
     /** True if another controller could lead. */
     private val hasSiblings: () -> Boolean,
 ) : PlacementStore.Listener {
@@ -69,15 +72,6 @@
     private val facts = platform.facts
     private val pageSize = Job.pageSize(store.layoutBytes)
 
-    /** How long leases may be renewed without knowing of a cancellation. */
-    private val uninformedFor: Micros =
-        maxOf(
-            facts.workers.cancelS.secs -
-                facts.workers.leaseS.secs * (1 + Leadership.DRIFT) -
-                Relays.grant(facts.workers) -
-                UNINFORMED_MARGIN,
-            UNINFORMED_LEAST,
-        )
     private val queue =
         FairQueue(
             facts.teams.associate { it.name to it.cpus },
@@ -85,6 +79,8 @@
             operators.normS,
         )
     private val cluster = Cluster(context, facts.teams, queue)
+    private val knowledge =
+        LeaderKnowledge(context, cluster, cancellations, role.token, facts.workers)
     private val pools = MachinePools(context) { types.types.orEmpty() }
     private val planner =
         Planner(context, cluster, operators, facts.workers, facts.objectives, pools) {
@@ -105,13 +101,11 @@
             role.token,
             { leadership.leaseIsValid },
             { leadership.leaseUncertainSince },
-            { loaded },
+            renewals,
+            knowledge,
             ::decommission,
             leadership::seen,
             ::sendAway,
-            ::mayRenew,
-            cancellations::contains,
-            uninformedFor,
             facts.limits.sockets.directCommands,
         )
     private val relays =
@@ -126,7 +120,7 @@
             facts.limits,
             operators,
             platform.siblings.isNotEmpty(),
-            ::mayRenew,
+            knowledge,
         )
     private val storeRelay = StoreRelayServer(context, store, role, ::take)
     private val health =
@@ -160,16 +154,13 @@
     /** Drains that operators asked for; null where these are switched off. */
     val drains: LeaderDrains? =
         operators.drain?.let { LeaderDrains(context, drainEnvironment(), it) }
-    private var loaded = false
+    private val loaded: Boolean
+        get() = knowledge.isLoaded
 
     /** When to look next whether another could lead better; not before a lease has passed. */
     private var nextCutOffCheckAt = context.now + operators.leaderLeaseS.secs
     private var over = false
 
-    /** It has read what is stored at least once. */
-    private var hasRead = false
-    private val electedAt = context.now
-
     private val storedState = StoredStateReader(store)
 
     /**
@@ -241,26 +232,12 @@
         if (plannedChanges != cluster.changes && context.now >= nextPlanAt) planAndWrite()
     }
 
-    /**
-     * A leader that does not know what was cancelled can't take it down, so it keeps nothing alive
-     * beyond what the users were promised: a lease that it renews, itself or through a relay, must
-     * be over in time. What it knows counts from when the question that told it was sent: its own
-     * lease says nothing of it, and a watch that is open may be one that the service has stopped
-     * serving. One that has not read yet renews only if reading takes so long that all work would
-     * be lost otherwise, and only with the same knowledge.
-     */
-    private fun mayRenew(): Boolean {
-        val early = context.now - electedAt <= facts.workers.leaseS.secs * LATE_READING_SHARE
-        if (!hasRead && early) return false
-        return context.now - cancellations.informedAt <= uninformedFor
-    }
-
     /** A user was told so, by this controller or by another. */
     fun cancelled(id: JobId) {
         val job = cluster.jobs[id] ?: return
         if (job.finished || job.over || job.complete) return
         log.info("{} is cancelled; {} tasks are out", job.id, job.placements.size)
-        cluster.end(job)
+        cluster.cancel(job, cancellations.toldSince(id))
         fleet.sendDirect()
     }
 
@@ -351,22 +328,28 @@
         pools.observeNow(cluster.jobs.values)
         watchFrom = state.openJobs.epoch
         watchAt = context.now
-        loaded = true
-        hasRead = true
+        knowledge.isLoaded = true
+        knowledge.hasRead = true
         log.info(
-            "token {} has read {} jobs with {} placements",
+            "token {} has read {} jobs with {} placements, {} cancelled ones among them, " +
+                "as of {} s ago",
             role.token,
             cluster.jobs.size,
             cluster.jobs.values.sumOf { it.placements.size },
+            cluster.jobs.values.count { it.isCancelled },
+            (context.now - askedAt).seconds,
         )
     }
 
     private fun loadCancelled(item: Scanned<JobRecord>) {
         val id = JobId(item.key.removePrefix(JobRecord.CANCELLED_PREFIX))
-        cancellations.learn(id)
+        cancellations.learnStored(id)
         // One that was cancelled since the open ones were read: the watch tells that.
         if (id in cluster.jobs) return
-        addJob(item.data ?: return, Stamp(item.stamp))?.let { cluster.end(it) }
+        // When its user was told is not stored: unless this process knows, as long ago as can be.
+        addJob(item.data ?: return, Stamp(item.stamp))?.let {
+            cluster.cancel(it, cancellations.toldSince(id))
+        }
     }
 
     /** Recorded by an earlier leader, which may not have come to delete it. */
@@ -441,7 +424,7 @@
     override fun fenced() = leadership.fenced()
 
     override fun lost() {
-        loaded = false
+        knowledge.isLoaded = false
         watchGeneration++
         storedState.abandon()
         watchAt = null
@@ -466,7 +449,7 @@
         // Its user has cancelled it; the watch will say so too.
         if (!job.finished) {
             log.info("{} was cancelled meanwhile", job.id)
-            cluster.end(job)
+            cluster.cancel(job, cancellations.informedAt)
         }
     }
 
@@ -496,12 +479,5 @@
          * A heartbeat takes far more, at some 50 bytes for each job; the counts are for display.
          */
         const val MAX_PROGRESS_JOBS = 5_000
-        const val LATE_READING_SHARE = 0.5
-
-        /** A halt's way to its machine. */
-        val UNINFORMED_MARGIN = 1500.millis
-
-        /** A leader that knows all learns that it does a few times a second. */
-        val UNINFORMED_LEAST = 1.secs
     }
 }
--- a/src/main/kotlin/wardmux/peers/Cancellations.kt
+++ b/src/main/kotlin/wardmux/peers/Cancellations.kt
@@ -55,6 +55,9 @@
 ) {
     private class ConfirmedJob(val job: JobId, val at: Micros)
 
+    /** A user may have been told of it from [since] on. */
+    private class KnownCancellation(val learnedAt: Micros, val since: Micros)
+
     /** How much of what a sibling's present process told is known here, and up to when. */
     private class SiblingProgress(val boot: String, val since: Micros) {
         var count = 0L
@@ -66,7 +69,7 @@
     private val confirmedHere = ArrayDeque<ConfirmedJob>()
     private var dropped = 0L
     private val siblingProgress = HashMap<String, SiblingProgress>()
-    private val known = Object2ObjectLinkedOpenHashMap<JobId, Micros>()
+    private val known = Object2ObjectLinkedOpenHashMap<JobId, KnownCancellation>()
 
     /** All that was told before then was shown by the state service. */
     private var shownAt = Micros.LONG_AGO
@@ -85,9 +88,26 @@
 
     /** [job] was recorded as cancelled, whoever told its user. */
     fun learn(job: JobId) {
-        if (known.putAndMoveToLast(job, context.now) == null) onLearned(job)
+        // All that was told before that is known, so this was told later.
+        learn(job, since = informedAt)
+    }
+
+    /** [job] is among what is stored as cancelled, perhaps for very long. */
+    fun learnStored(job: JobId) = learn(job, since = Micros.LONG_AGO)
+
+    private fun learn(job: JobId, since: Micros) {
+        val before = known[job]
+        val earliest = before?.since ?: since
+        known.putAndMoveToLast(job, KnownCancellation(context.now, earliest))
+        if (before == null) onLearned(job)
     }
 
+    /** The earliest moment at which a user may have been told that [job] is cancelled. */
+    fun toldSince(job: JobId): Micros = known[job]?.since ?: Micros.LONG_AGO
+
+    /** All jobs that are known to be cancelled. */
+    fun all(): Set<JobId> = known.keys
+
     /** The state service has shown all that was recorded before [at]. */
     fun shown(at: Micros) {
         shownAt = maxOf(shownAt, at)
@@ -153,7 +173,7 @@
         store.scan(JobRecord.CANCELLED_PREFIX, IgnoredValue.serializer()) { found ->
             scanning = false
             if (found == null) return@scan
-            for (item in found.items) learn(
+            for (item in found.items) learnStored(
                 JobId(item.key.removePrefix(JobRecord.CANCELLED_PREFIX))
             )
             shown(sentAt)
@@ -166,7 +186,10 @@
             confirmedHere.removeFirst()
             dropped++
         }
-        while (!known.isEmpty() && context.now - known[known.firstKey()]!! > horizon + horizon) {
+        while (
+            !known.isEmpty() &&
+                context.now - known[known.firstKey()]!!.learnedAt > horizon + horizon
+        ) {
             known.removeFirst()
         }
     }
--- a/src/main/kotlin/wardmux/relay/PendingReports.kt
+++ b/src/main/kotlin/wardmux/relay/PendingReports.kt
@@ -68,8 +68,17 @@
     /** The machine of this name, from now on one that reports here. */
     fun getOrAdd(name: String): ReportingMachine = machines.getOrPut(name) { ReportingMachine() }
 
-    /** Takes in a report under the leader's [token]; true if the leader is to hear of it soon. */
-    fun add(machine: ReportingMachine, report: Report, body: ByteArray, token: Token?): Boolean {
+    /**
+     * Takes in a report under the leader's [token], whose answer [renewed] the lease or did not;
+     * true if the leader is to hear of it soon.
+     */
+    fun add(
+        machine: ReportingMachine,
+        report: Report,
+        body: ByteArray,
+        token: Token?,
+        renewed: Boolean,
+    ): Boolean {
         val last = machine.report
         if (last != null && last.copy(tick = report.tick) == report) {
             if (report.machine !in whole) signs.putAndMoveToLast(machine.number, report.tick)
@@ -77,8 +86,8 @@
             return false
         }
         if (token == null) return false
-        // Answered, it takes the token and reports once more: enough that the leader hears that.
-        if (Token(report.token) < token && machine.learns != token) {
+        // Renewed, it takes the token and reports once more: enough that the leader hears that.
+        if (renewed && Token(report.token) < token && machine.learns != token) {
             machine.learns = token
             return false
         }
--- a/src/main/kotlin/wardmux/relay/Relay.kt
+++ b/src/main/kotlin/wardmux/relay/Relay.kt
@@ -2,17 +2,21 @@
 
 import wardmux.CoreContext
 import wardmux.HttpStatus
+import wardmux.JobId
+import wardmux.MachineId
 import wardmux.Micros
 import wardmux.Token
 import wardmux.app.WorkerFacts
 import wardmux.fleet.Fleet
 import wardmux.fleet.Redirect
 import wardmux.fleet.Report
-import wardmux.fleet.ReportResponse
 import wardmux.lead.Leadership
 import wardmux.lead.Role
 import wardmux.logger
 import wardmux.millis
+import wardmux.peers.Cancellations
+import wardmux.renewal.LeaseRenewals
+import wardmux.renewal.RenewalDecision
 import wardmux.secs
 
 /**
@@ -21,7 +25,8 @@
  * leader has left for them. Starts never go this way.
  *
  * A grant is limited in time, counted from when it was asked for, so a relay that is cut off,
- * refused or frozen stops by itself; one that was restarted is another process and has none.
+ * refused or frozen stops by itself; one that was restarted is another process and has none. It
+ * allows to renew leases, but each single one by the machine's report only: see [LeaseRenewals].
  */
 class Relay(
     private val context: CoreContext,
@@ -29,6 +34,8 @@
     private val member: String,
     private val boot: String,
     private val workers: WorkerFacts,
+    private val cancellations: Cancellations,
+    private val renewals: LeaseRenewals,
     storeRelayClient: StoreRelayClient,
     siblings: Int,
     /** As many as workers may be connected. */
@@ -53,6 +60,9 @@
     private var token: Token? = null
     private var grantedUntil = Micros.LONG_AGO
 
+    /** What the leader has told with the grant of what is cancelled; null before the first. */
+    private var knowledge: GrantedKnowledge? = null
+
     /** Null until the leader has said whether it wants relays. */
     private var wanted: Boolean? = null
     private var echo = 0L
@@ -65,14 +75,10 @@
     private var shedLeft = 0
     private var shedTo: String? = null
     private var redirects = false
-    private var renews = true
     private var removeSilentAt = Micros.ZERO
 
     private val spacing = SPACING_EACH * siblings.toDouble()
 
-    /** The answer without orders, which most workers get. */
-    private var plainAnswer = ByteArray(0)
-
     private var batches = 0L
     private val pending = PendingReports()
     private val sender = BatchSender(context, storeRelayClient)
@@ -85,13 +91,14 @@
         followLeader()
         if (wanted == false) return false
         val current = token
-        if (current == null || !granted) return waitForGrant(call, report, body)
+        val granting = knowledge
+        if (current == null || granting == null || !granted) return waitForGrant(call, report, body)
         if (Token(report.token) > current) {
             // Another leads: nothing more is answered under this token.
             grantedUntil = Micros.LONG_AGO
             return false
         }
-        answerReport(call, report, body, current)
+        answerReport(call, report, body, granting)
         return true
     }
 
@@ -114,6 +121,7 @@
         token = theirs
         leader = if (theirs == null) null else name
         grantedUntil = Micros.LONG_AGO
+        knowledge = null
         wanted = null
         echo = 0
         failedAt = Micros.LONG_AGO
@@ -124,20 +132,29 @@
         shedLeft = 0
         redirects = false
         pending.startOver()
-        if (theirs != null) plainAnswer = ReportResponse(theirs.value, emptyList()).encode()
     }
 
-    private fun answerReport(call: Long, report: Report, body: ByteArray, current: Token) {
+    private fun answerReport(
+        call: Long,
+        report: Report,
+        body: ByteArray,
+        granting: GrantedKnowledge,
+    ) {
         val machine = pending.getOrAdd(report.machine)
         machine.heardAt = context.now
         if (sendElsewhere(call, machine)) return
-        if (pending.add(machine, report, body, token)) urgent = true
-        if (!renews) return context.answerBytes(call, HttpStatus.OK, ReportResponse.DROPPED)
-        val mail = machine.mail?.takeIf { it.shift == report.shift }
-        machine.mail = null
-        val answer =
-            if (mail == null) plainAnswer else ReportResponse(current.value, mail.orders).encode()
-        context.answerBytes(call, HttpStatus.OK, answer)
+        val decision = renewals.decide(report, granting)
+        val renewed = decision is RenewalDecision.Renew
+        if (pending.add(machine, report, body, token, renewed)) urgent = true
+        when (decision) {
+            is RenewalDecision.Withhold -> context.answerBytes(call, HttpStatus.OK, decision.answer)
+            is RenewalDecision.Renew -> {
+                val mail = machine.mail?.takeIf { it.shift == report.shift }
+                machine.mail = null
+                val answer = decision.renewal.answer(mail?.orders.orEmpty())
+                context.answerBytes(call, HttpStatus.OK, answer)
+            }
+        }
         if (urgent && context.now - sentAt >= pause()) sendBatch()
     }
 
@@ -236,11 +253,16 @@
         grantedUntil = if (answer.wanted) askedAt + length else Micros.LONG_AGO
         for (number in answer.unknown) if (pending.resend(number)) urgent = true
         for (mail in answer.mail) pending[mail.machine]?.mail = mail
-        for (machine in answer.refuse) pending[machine]?.refused = true
+        for (job in answer.cancelledJobs) cancellations.learnStored(JobId(job))
+        val granting = GrantedKnowledge(Token(answer.token), answer, grantedUntil, cancellations)
+        knowledge = granting
+        for (machine in answer.refuse) {
+            // One that only may not be renewed is heard on: its reports may prove that it may be.
+            if (!granting.names(MachineId(machine))) pending[machine]?.refused = true
+        }
         shedLeft = answer.shed
         shedTo = answer.shedTo
         redirects = answer.sendOn
-        renews = answer.renews
         answerWaiting()
     }
 
--- a/src/main/kotlin/wardmux/relay/RelayWire.kt
+++ b/src/main/kotlin/wardmux/relay/RelayWire.kt
@@ -14,6 +14,7 @@
 import kotlinx.serialization.json.jsonPrimitive
 import wardmux.fleet.Order
 import wardmux.peers.PeerCodec
+import wardmux.renewal.CancelledTasks
 
 /** A worker's report that differs from the last one handed on, as the worker sent it. */
 @Serializable
@@ -79,10 +80,30 @@
     @SerialName("sendOn") val sendOn: Boolean = false,
     /** False: workers are kept, but their leases are not renewed for now. */
     @SerialName("renews") val renews: Boolean = true,
+    /** Jobs that are cancelled and of which something may be on a machine. */
+    @SerialName("cancelled") val cancelledJobs: List<String> = emptyList(),
+    /**
+     * Tasks without whose halts the leases of their machines are not renewed under this grant; null
+     * from a leader of an earlier version, which names none.
+     */
+    @SerialName("mustHalt") val mustHalt: List<CancelledTasks>? = null,
 ) {
-    /** The machines will be told again. */
+    /**
+     * The machines will be told again. Without the tasks that have to be halted no lease may be
+     * renewed, so if there are any, none is.
+     */
     fun withoutMail() =
-        BatchAnswer(boot, number, token, clock, wanted, grant, sendOn = sendOn, renews = renews)
+        BatchAnswer(
+            boot,
+            number,
+            token,
+            clock,
+            wanted,
+            grant,
+            sendOn = sendOn,
+            renews = renews && mustHalt.isNullOrEmpty(),
+            mustHalt = mustHalt?.let { emptyList() },
+        )
 }
 
 /** What the leader answers by way of the state service. */
--- a/src/main/kotlin/wardmux/relay/Relays.kt
+++ b/src/main/kotlin/wardmux/relay/Relays.kt
@@ -14,6 +14,7 @@
 import wardmux.lead.Leadership
 import wardmux.logger
 import wardmux.millis
+import wardmux.renewal.LeaderKnowledge
 import wardmux.secs
 
 /**
@@ -32,7 +33,7 @@
     private val limits: LimitFacts,
     private val operators: OperatorSettings,
     hasSiblings: Boolean,
-    private val mayRenew: () -> Boolean,
+    private val knowledge: LeaderKnowledge,
 ) {
     /** One process that was ever given a grant in this term. */
     private class Relayer(val member: String, val boot: String) {
@@ -127,6 +128,9 @@
     private fun answer(relayer: Relayer, batch: Batch, answers: MachineAnswers): BatchAnswer {
         val shed = relayer.shed
         relayer.shed = 0
+        val mustHalt = knowledge.tasksToHalt()
+        // Too many to name: then nothing may be renewed before some are proven gone.
+        val tooMany = mustHalt.sumOf { it.tasks.size } > MOST_NAMED_TASKS
         return BatchAnswer(
             boot = batch.boot,
             number = batch.number,
@@ -140,7 +144,9 @@
             shed = shed,
             shedTo = relayer.shedTo,
             sendOn = fleet.sendsOn,
-            renews = mayRenew(),
+            renews = context.now < knowledge.usableUntil && !tooMany,
+            cancelledJobs = knowledge.cancelledJobs(),
+            mustHalt = if (tooMany) emptyList() else mustHalt,
         )
     }
 
@@ -263,6 +269,9 @@
 
     companion object {
         private const val GRANT_PART = 0.33
+
+        /** Some 100 KB in an answer; a fleet of thousands of machines rarely has so many. */
+        private const val MOST_NAMED_TASKS = 5_000
         private val LONGEST_GRANT = 8.secs
         private val SHORTEST_GRANT = 500.millis
         private const val KEPT_LEASES = 3.0
--- /dev/null
+++ b/src/main/kotlin/wardmux/renewal/CancellationKnowledge.kt
@@ -0,0 +1,40 @@
+package wardmux.renewal
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import wardmux.JobId
+import wardmux.MachineId
+import wardmux.Micros
+import wardmux.Token
+
+/** One attempt of a task, as workers name it. */
+@Serializable
+data class TaskAttempt(
+    @SerialName("task") val task: String,
+    @SerialName("attempt") val attempt: Int,
+)
+
+/** Tasks of cancelled jobs that may be on [machine]: whoever renews its lease halts them all. */
+@Serializable
+class CancelledTasks(
+    @SerialName("machine") val machine: String,
+    @SerialName("tasks") val tasks: List<TaskAttempt>,
+)
+
+/** What a controller knows of cancelled tasks when it answers a machine's report. */
+interface CancellationKnowledge {
+    /** The token under which it may be used. */
+    val token: Token
+
+    /** From then on it is too old to renew a lease with. */
+    val usableUntil: Micros
+
+    /** Whether a user may have been told that [job] is cancelled. */
+    fun isCancelled(job: JobId): Boolean
+
+    /**
+     * Attempts of cancelled jobs that may be on [machine] and have so little time left that its
+     * lease is renewed only by an answer that halts them all.
+     */
+    fun mustHalt(machine: MachineId): List<TaskAttempt>
+}
--- /dev/null
+++ b/src/main/kotlin/wardmux/renewal/LeaderKnowledge.kt
@@ -0,0 +1,110 @@
+package wardmux.renewal
+
+import wardmux.CoreContext
+import wardmux.JobId
+import wardmux.MachineId
+import wardmux.Micros
+import wardmux.TaskId
+import wardmux.Token
+import wardmux.app.WorkerFacts
+import wardmux.dispatch.Cluster
+import wardmux.fleet.Placement
+import wardmux.peers.Cancellations
+import wardmux.secs
+
+/**
+ * What the leader knows of cancelled tasks: the records of where each task may be, and the
+ * cancellations that users were told of.
+ *
+ * A leader that does not know what was cancelled can't take it down, so what it knows is usable for
+ * a time that counts from when the question that told it was sent: its own lease says nothing of
+ * it, and a watch that is open may be one that the service has stopped serving. One that has not
+ * read yet renews only if reading takes so long that all work would be lost otherwise.
+ */
+class LeaderKnowledge(
+    private val context: CoreContext,
+    private val cluster: Cluster,
+    private val cancellations: Cancellations,
+    override val token: Token,
+    private val workers: WorkerFacts,
+) : CancellationKnowledge {
+    private val renewableFor = CancellationDeadline(workers).renewableFor
+    private val electedAt = context.now
+
+    /** What is stored has been read at least once. */
+    var hasRead = false
+
+    /** What is stored is known; false also while it is read again. */
+    var isLoaded = false
+
+    override val usableUntil: Micros
+        get() {
+            val early = context.now - electedAt <= workers.leaseS.secs * LATE_READING_SHARE
+            if (!hasRead && early) return Micros.LONG_AGO
+            return cancellations.informedAt + renewableFor
+        }
+
+    override fun isCancelled(job: JobId): Boolean {
+        if (job in cancellations) return true
+        val known = cluster.jobs[job] ?: return false
+        return known.isCancelled
+    }
+
+    override fun mustHalt(machine: MachineId): List<TaskAttempt> {
+        var attempts: ArrayList<TaskAttempt>? = null
+        for (placement in cluster.placementsOn(machine)) {
+            if (!isUrgent(placement)) continue
+            attempts = (attempts ?: ArrayList()).also { it.add(placement.attemptOfTask) }
+        }
+        if (!isLoaded) {
+            val loose = looseCancelled(machine)
+            if (loose.isNotEmpty()) attempts = (attempts ?: ArrayList()).also { it.addAll(loose) }
+        }
+        return attempts ?: emptyList()
+    }
+
+    /** While what is stored is read again, starts under way are all that is known of a machine. */
+    private fun looseCancelled(machine: MachineId): List<TaskAttempt> =
+        cluster.machines[machine]?.loose.orEmpty().filter { attempt ->
+            TaskId.parse(attempt.task)?.let { isCancelled(it.job) } == true
+        }
+
+    /** It may be on its machine, and its job was cancelled too long ago for one more lease. */
+    private fun isUrgent(placement: Placement) =
+        placement.job.isCancelled &&
+            placement.mayBeStarted &&
+            context.now - placement.job.cancelledSince > renewableFor
+
+    /** What a relay has to halt, by machine, for as long as its next grant runs. */
+    fun tasksToHalt(): List<CancelledTasks> {
+        val byMachine = LinkedHashMap<MachineId, ArrayList<TaskAttempt>>()
+        for (job in cluster.jobs.values) {
+            if (!job.isCancelled) continue
+            for (placement in job.placements.values) {
+                if (!isUrgent(placement)) continue
+                byMachine.getOrPut(placement.machine) { ArrayList() }.add(placement.attemptOfTask)
+            }
+        }
+        if (!isLoaded) {
+            for (machine in cluster.machines.values) {
+                val loose = looseCancelled(machine.id)
+                if (loose.isNotEmpty()) byMachine.getOrPut(machine.id) { ArrayList() }.addAll(loose)
+            }
+        }
+        return byMachine.map { (machine, tasks) -> CancelledTasks(machine.value, tasks) }
+    }
+
+    /**
+     * Cancelled jobs of which something may be on a machine; all that are known until it is read.
+     */
+    fun cancelledJobs(): List<String> {
+        if (!isLoaded) return cancellations.all().map { it.value }
+        return cluster.jobs.values
+            .filter { it.isCancelled && it.placements.isNotEmpty() }
+            .map { it.id.value }
+    }
+
+    private companion object {
+        const val LATE_READING_SHARE = 0.5
+    }
+}
--- a/src/test/kotlin/wardmux/peers/CancellationsTest.kt
+++ b/src/test/kotlin/wardmux/peers/CancellationsTest.kt
@@ -5,11 +5,16 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
+import wardmux.CoreContext
+import wardmux.JobId
+import wardmux.Micros
 import wardmux.Port
+import wardmux.app.StateFacts
 import wardmux.secs
 import wardmux.sim.ControllerHarness
 import wardmux.sim.ManualWorker
 import wardmux.sim.plainJob
+import wardmux.store.StateStore
 
 /** Who knows what users were told to be cancelled, and what a leader does that may not know it. */
 class CancellationsTest {
@@ -121,4 +126,63 @@
         harness.run(60.secs)
         assertEquals(emptyList(), heartbeat(emptyList()).jobs)
     }
+
+    private class Known {
+        val context = CoreContext().also { it.at(100.secs, 100.secs) }
+        private val store = StateStore(context, StateFacts(900.0, 900.0, 8.0, 8), 2)
+        val cancellations = Cancellations(context, store, "own", listOf("n1"), 60.secs) {}
+        private val job = JobId("job-000001")
+
+        fun at(second: Int) = context.at(second.secs, second.secs)
+
+        fun toldBy(sibling: List<String>) =
+            cancellations.accept(
+                "n1",
+                CancellationReport("b", 1_000_000_000, 0, sibling),
+                context.now,
+            )
+
+        fun since() = cancellations.toldSince(job)
+
+        fun learnStored() = cancellations.learnStored(job)
+
+        fun learn() = cancellations.learn(job)
+    }
+
+    @Test
+    fun `a cancellation counts from when it was last known that there was none`() =
+        Known().run {
+            cancellations.shown(90.secs)
+            at(120)
+            learn()
+            assertEquals(90.secs, since())
+            cancellations.shown(119.secs)
+            at(130)
+            // Told once more, and read from what is stored: no later for that.
+            learn()
+            learnStored()
+            assertEquals(90.secs, since())
+        }
+
+    @Test
+    fun `one that is read from what is stored counts from as long ago as can be`() =
+        Known().run {
+            cancellations.shown(119.secs)
+            at(120)
+            learnStored()
+            assertEquals(Micros.LONG_AGO, since())
+        }
+
+    @Test
+    fun `one that a sibling tells counts from when all were last heard`() =
+        Known().run {
+            // Nothing is known of what former processes told.
+            cancellations.shown(100.secs)
+            cancellations.tick()
+            at(101)
+            toldBy(emptyList())
+            at(150)
+            toldBy(listOf("job-000001"))
+            assertEquals(101.secs, since())
+        }
 }
--- /dev/null
+++ b/src/test/kotlin/wardmux/renewal/LeaderRenewalTest.kt
@@ -0,0 +1,186 @@
+package wardmux.renewal
+
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlinx.serialization.json.Json
+import wardmux.Outcome
+import wardmux.Port
+import wardmux.app.OperatorSettings
+import wardmux.intake.JobRecord
+import wardmux.intake.JobState
+import wardmux.peers.CancellationReport
+import wardmux.peers.HeartbeatCodec
+import wardmux.peers.Peers
+import wardmux.relay.Batch
+import wardmux.relay.BatchAnswer
+import wardmux.relay.FullReport
+import wardmux.relay.RelayCodec
+import wardmux.secs
+import wardmux.sim.ControllerHarness
+import wardmux.sim.ManualWorker
+import wardmux.sim.plainJob
+
+/**
+ * What a leader that finds a cancelled job's task in the records lets renew its machine's lease.
+ */
+class LeaderRenewalTest {
+    private val harness =
+        ControllerHarness(siblings = listOf("n1"), OperatorSettings(reportsPerCore = 0.0))
+    private val machine = ManualWorker(harness, "i-000001")
+    private val other = ManualWorker(harness, "i-000099")
+    private val job = plainJob(1)
+    private val running = """{"piece":"job-000001/0","try":1,"status":"running"}"""
+    private val halt = """{"verb":"halt","piece":"job-000001/0","try":1,"letgo_s":0.0}"""
+
+    /** A leader whose predecessor placed the task; when its user was told is not known. */
+    private fun takeOver(): Long {
+        val cancelled = JobRecord(JobState.CANCELLED, 0, job).toJson()
+        harness.write(JobRecord.key(job.jobId), cancelled)
+        harness.write(JobRecord.cancelledKey(job.jobId), cancelled)
+        harness.write(
+            "t/job-000001/0",
+            Json.parseToJsonElement(
+                """{"c":[1],"w":[1.0],"z":["a"],"m":["i-000001"],"n":[1,0,1,0,1,0]}"""
+            ),
+        )
+        siblingTells()
+        harness.run(2.secs)
+        return other.token()
+    }
+
+    private fun siblingTells(vararg jobs: String) {
+        val report = CancellationReport("b", 1_000_000_000, 0, jobs.toList())
+        harness.sibling = { path, _ ->
+            if (path == Peers.PATH) HeartbeatCodec.encode(report) else null
+        }
+    }
+
+    private fun batch(token: Long, vararg reports: FullReport): BatchAnswer {
+        val batch = Batch("n1", "b", 1, token, 0, 0, reports.toList())
+        harness.call("POST", RelayCodec.PATH, RelayCodec.encode(batch), Port.PEER)
+        return assertNotNull(RelayCodec.answer(harness.bytesOf(harness.lastCall)))
+    }
+
+    private fun report(token: Long, tick: Int, tasks: String): FullReport {
+        val body =
+            """{"box":"i-000001","endpoint":"10.0.0.9:9","boxkind":"mid","ward":"a","loaners":""" +
+                """false,"shift":1,"tick":$tick,"baton":$token,"pieces":[$tasks]}"""
+        return FullReport(tick.toLong(), body.encodeToByteArray())
+    }
+
+    private fun named(answer: BatchAnswer) =
+        assertNotNull(answer.mustHalt).map { it.machine to it.tasks }
+
+    private val theTask = "i-000001" to listOf(TaskAttempt("job-000001/0", 1))
+
+    @Test
+    fun `the first answer to a machine renews its lease with the halt`() {
+        val token = takeOver()
+        val answer = machine.handleReport(token - 1, running)
+        assertContains(answer, "\"baton\":$token")
+        assertContains(answer, halt)
+    }
+
+    @Test
+    fun `so does the answer to a report that was overtaken, or is a copy`() {
+        val token = takeOver()
+        machine.report(token - 1, running, at = 9)
+        val answer = machine.report(token - 1, running, at = 8)
+        assertContains(assertNotNull(answer).second, halt)
+    }
+
+    @Test
+    fun `a machine that does not show the task is not renewed before it proves that it is gone`() {
+        val token = takeOver()
+        harness.direct.clear()
+        assertContains(machine.handleReport(token - 1), "\"baton\":0")
+        // An earlier leader's start may still be under way: the halt makes it void.
+        harness.run(0.5.secs)
+        assertEquals(1, harness.direct.count { halt in it && "\"baton\":$token" in it })
+        assertContains(machine.handleReport(token), "\"baton\":$token")
+    }
+
+    @Test
+    fun `the halt is sent again with each report until the proof comes`() {
+        val token = takeOver()
+        harness.directOutcome = Outcome.Unknown
+        repeat(4) {
+            assertContains(machine.handleReport(token - 1), "\"baton\":0")
+            harness.run(1.5.secs)
+        }
+        assertTrue(harness.direct.count { halt in it } >= 3, "sent once")
+    }
+
+    @Test
+    fun `a start that went unanswered before the cancellation ends the lease in time`() {
+        siblingTells()
+        harness.accept(job)
+        harness.run(2.secs)
+        val token = machine.token()
+        machine.handleReport(token)
+        harness.directOutcome = Outcome.Unknown
+        harness.run(1.secs)
+        assertEquals(1, harness.direct.count { "\"start\"" in it })
+        siblingTells(job.id)
+        harness.run(1.1.secs)
+        // Of 36 s a lease of 16 s, a relay's grant of 5.3 s and a margin remain.
+        val renewed =
+            List(20) {
+                harness.run(1.secs)
+                "\"baton\":$token" in machine.report(token)?.second.orEmpty()
+            }
+        assertTrue(renewed.take(4).all { it }, "given up at once: $renewed")
+        assertFalse(renewed.drop(14).any { it }, "renewed for too long: $renewed")
+    }
+
+    @Test
+    fun `relays are told of the task until it is proven gone, and of its job`() {
+        val token = takeOver()
+        assertEquals(listOf(theTask), named(batch(token)))
+        assertEquals(listOf(job.id), batch(token).cancelledJobs)
+        val shown = batch(token, report(token, 5, running))
+        assertEquals(listOf(theTask), named(shown))
+        assertEquals("halt", shown.mail.single().orders.single().verb)
+        batch(token, report(token, 6, ""))
+        assertEquals(emptyList(), named(batch(token)))
+        assertTrue(batch(token).renews)
+    }
+
+    @Test
+    fun `a relay of an earlier version is to refuse a machine that does not show it`() {
+        val token = takeOver()
+        assertEquals(listOf("i-000001"), batch(token, report(token - 1, 5, "")).refuse)
+        assertEquals(emptyList(), batch(token, report(token - 1, 6, running)).refuse)
+    }
+
+    @Test
+    fun `a cancellation that it saw itself counts from when it last knew that there was none`() {
+        siblingTells()
+        harness.accept(job)
+        harness.run(2.secs)
+        val token = machine.token()
+        machine.handleReport(token)
+        harness.run(1.secs)
+        machine.handleReport(token, running)
+        siblingTells(job.id)
+        harness.run(1.1.secs)
+        assertEquals(emptyList(), named(batch(token)), "halted without haste")
+        harness.run(12.secs)
+        assertEquals(listOf(theTask), named(batch(token)))
+    }
+
+    @Test
+    fun `what does not fit by way of the state service stops all renewals`() {
+        val token = takeOver()
+        val answer = batch(token)
+        assertTrue(answer.renews)
+        assertFalse(answer.withoutMail().renews)
+        assertEquals(emptyList(), answer.withoutMail().mustHalt)
+        batch(token, report(token, 6, ""))
+        assertTrue(batch(token).withoutMail().renews, "nothing is left out")
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/wardmux/renewal/RelayRenewalTest.kt
@@ -0,0 +1,139 @@
+package wardmux.renewal
+
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlinx.serialization.json.Json
+import wardmux.Port
+import wardmux.fleet.Order
+import wardmux.peers.Heartbeat
+import wardmux.peers.HeartbeatCodec
+import wardmux.relay.Batch
+import wardmux.relay.BatchAnswer
+import wardmux.relay.Mail
+import wardmux.relay.RelayCodec
+import wardmux.secs
+import wardmux.sim.ControllerHarness
+import wardmux.sim.ManualWorker
+
+/** Which leases a relay renews whose leader, played here, names tasks that have to be halted. */
+class RelayRenewalTest {
+    private val harness = ControllerHarness(siblings = listOf("n1"))
+    private val machine = ManualWorker(harness, "i-000001")
+    private val batches = ArrayList<Batch>()
+    private val token = 7L
+    private val running = """{"piece":"job-000001/0","try":1,"status":"running"}"""
+    private val ended = """{"piece":"job-000001/0","try":1,"status":"ended","cause":"stopped"}"""
+    private val fine = """{"piece":"job-000002/0","try":1,"status":"running"}"""
+    private val halt = """{"verb":"halt","piece":"job-000001/0","try":1,"letgo_s":0.0}"""
+
+    private var mustHalt: List<CancelledTasks>? =
+        listOf(CancelledTasks("i-000001", listOf(TaskAttempt("job-000001/0", 1))))
+    private var cancelledJobs = emptyList<String>()
+    private var mail = emptyList<Mail>()
+    private var refuse = emptyList<String>()
+
+    private fun answer(batch: Batch) =
+        BatchAnswer(
+            "rig",
+            batch.number,
+            token,
+            harness.now.value,
+            grant = 5_000_000,
+            mail = mail,
+            refuse = refuse,
+            cancelledJobs = cancelledJobs,
+            mustHalt = mustHalt,
+        )
+
+    private fun begin() {
+        harness.writeLeased("leader", Json.parseToJsonElement("""{"member":"n1","boot":"x"}"""))
+        harness.sibling = { path, body ->
+            val batch = if (path == RelayCodec.PATH) RelayCodec.batch(body) else null
+            batch?.let {
+                batches.add(it)
+                RelayCodec.encode(answer(it))
+            }
+        }
+        harness.run(1.secs)
+        val heartbeat = Heartbeat("n1", token = token, wantsRelays = true)
+        harness.call("POST", "/beat", HeartbeatCodec.encode(heartbeat), Port.PEER)
+        harness.run(1.secs)
+    }
+
+    private fun told() = batches.flatMap { batch -> batch.reports.map { it.body.decodeToString() } }
+
+    @Test
+    fun `a machine that shows the task is renewed with its halt, and keeps all others`() {
+        begin()
+        val answer = machine.handleReport(0, "$running,$fine")
+        assertContains(answer, "\"baton\":$token")
+        assertContains(answer, halt)
+        assertFalse("job-000002" in answer)
+        // Again until it is gone: the answer may have been lost.
+        assertContains(machine.handleReport(token, "$running,$fine"), halt)
+        assertFalse("halt" in machine.handleReport(token, "$ended,$fine"))
+    }
+
+    @Test
+    fun `one that does not show it is not renewed, and the leader hears that at once`() {
+        begin()
+        assertContains(machine.handleReport(3, fine), "\"baton\":0")
+        harness.run(1.secs)
+        assertTrue(told().any { "\"baton\":3" in it }, "the leader was not told: ${told()}")
+        // The leader has the proof.
+        mustHalt = emptyList()
+        harness.run(1.1.secs)
+        assertContains(machine.handleReport(token, fine), "\"baton\":$token")
+    }
+
+    @Test
+    fun `a task that ended there needs no halt, as a start of it has no effect`() {
+        begin()
+        val answer = machine.handleReport(token, ended)
+        assertContains(answer, "\"baton\":$token")
+        assertFalse("halt" in answer)
+    }
+
+    @Test
+    fun `what the leader knows to be cancelled is halted before it has to be`() {
+        mustHalt = emptyList()
+        cancelledJobs = listOf("job-000001")
+        begin()
+        val answer = machine.handleReport(0, "$running,$fine")
+        assertContains(answer, "\"baton\":$token")
+        assertContains(answer, halt)
+    }
+
+    @Test
+    fun `an order that the leader left is not repeated beside the halt`() {
+        begin()
+        machine.handleReport(token, running)
+        mail = listOf(Mail("i-000001", 1, listOf(Order.halt("job-000001/0", 1, 0.0))))
+        harness.run(1.1.secs)
+        val answer = machine.handleReport(token, running)
+        assertEquals(1, Regex("\"halt\"").findAll(answer).count(), answer)
+    }
+
+    @Test
+    fun `a machine that is refused for the task alone is heard on`() {
+        begin()
+        machine.handleReport(token, fine)
+        refuse = listOf("i-000001")
+        harness.run(1.1.secs)
+        assertEquals(200, machine.report(token, fine)?.first)
+        // Given up, it is named no more.
+        mustHalt = emptyList()
+        harness.run(1.1.secs)
+        assertEquals(503, machine.report(token, fine)?.first)
+    }
+
+    @Test
+    fun `with a leader of an earlier version it halts what it knows itself`() {
+        mustHalt = null
+        begin()
+        assertContains(machine.handleReport(token, fine), "\"baton\":$token")
+    }
+}
--- a/src/test/kotlin/wardmux/sim/Rules.kt
+++ b/src/test/kotlin/wardmux/sim/Rules.kt
@@ -49,6 +49,15 @@
     var startsAfterCancel = 0
         private set
 
+    /** Commands to start that machines carried out after the user was told of the cancellation. */
+    var startsCarriedOutAfterCancel = 0
+        private set
+
+    /** A machine carries out the command to start a task of [job]. */
+    fun startCarriedOut(job: String) {
+        if (job in toldCancelledAt) startsCarriedOutAfterCancel++
+    }
+
     /** Called when the last task of a job that nobody called off has ended. */
     var whenAllDone: (String) -> Unit = {}
 
