Unchanged reports are not held against the cancellations again

Change: a list of tasks that was found free of cancelled jobs is not looked through again while it is the same and no cancellation was learned. Relays learn a job that the leader names once.

Measured: the tests of renewals, relays, take-overs, outages and cancellations pass; the new one, that a cancellation halts what an unchanged report goes on showing, among them.

--- a/src/main/kotlin/wardmux/dispatch/Cluster.kt
+++ b/src/main/kotlin/wardmux/dispatch/Cluster.kt
@@ -37,6 +37,10 @@
     /** Operators' drains are not over: only these move what would run on elsewhere. */
     var hasDrains = false
 
+    /** Counts the jobs that were found cancelled. */
+    var cancelled = 0L
+        private set
+
     /** Counts what may let a waiting task start; a plan that found nothing is not made again. */
     var changes = 0L
         private set
@@ -122,7 +126,10 @@
 
     /** Its user may have been told from [since] on that the job is cancelled. */
     fun cancel(job: Job, since: Micros) {
-        if (!job.over) job.cancelledSince = since
+        if (!job.over) {
+            job.cancelledSince = since
+            cancelled++
+        }
         end(job)
     }
 
--- a/src/main/kotlin/wardmux/peers/Cancellations.kt
+++ b/src/main/kotlin/wardmux/peers/Cancellations.kt
@@ -76,6 +76,10 @@
     private var scanAt = Micros.LONG_AGO
     private var scanning = false
 
+    /** Counts the cancellations that became known. */
+    var learned = 0L
+        private set
+
     /** Whether [job] is known to be cancelled. */
     operator fun contains(job: JobId) = known.containsKey(job)
 
@@ -99,7 +103,9 @@
         val before = known[job]
         val earliest = before?.since ?: since
         known.putAndMoveToLast(job, KnownCancellation(context.now, earliest))
-        if (before == null) onLearned(job)
+        if (before != null) return
+        learned++
+        onLearned(job)
     }
 
     /** The earliest moment at which a user may have been told that [job] is cancelled. */
--- a/src/main/kotlin/wardmux/relay/GrantedKnowledge.kt
+++ b/src/main/kotlin/wardmux/relay/GrantedKnowledge.kt
@@ -20,6 +20,9 @@
 
     override val usableUntil: Micros = if (answer.renews) grantedUntil else Micros.LONG_AGO
 
+    override val cancellationsLearned: Long
+        get() = cancellations.learned
+
     override fun isCancelled(job: JobId): Boolean = job in cancellations
 
     override fun mustHalt(machine: MachineId): List<TaskAttempt> = mustHalt[machine].orEmpty()
--- a/src/main/kotlin/wardmux/relay/Relay.kt
+++ b/src/main/kotlin/wardmux/relay/Relay.kt
@@ -253,7 +253,9 @@
         grantedUntil = if (answer.wanted) askedAt + length else Micros.LONG_AGO
         for (number in answer.unknown) if (pending.resend(number)) urgent = true
         for (mail in answer.mail) pending[mail.machine]?.mail = mail
-        for (job in answer.cancelledJobs) cancellations.learnStored(JobId(job))
+        for (job in answer.cancelledJobs) {
+            if (JobId(job) !in cancellations) cancellations.learnStored(JobId(job))
+        }
         val granting = GrantedKnowledge(Token(answer.token), answer, grantedUntil, cancellations)
         knowledge = granting
         for (machine in answer.refuse) {
--- a/src/main/kotlin/wardmux/renewal/CancellationKnowledge.kt
+++ b/src/main/kotlin/wardmux/renewal/CancellationKnowledge.kt
@@ -29,6 +29,9 @@
     /** From then on it is too old to renew a lease with. */
     val usableUntil: Micros
 
+    /** Counts the cancellations that were learned: while it stays, none has been added. */
+    val cancellationsLearned: Long
+
     /** Whether a user may have been told that [job] is cancelled. */
     fun isCancelled(job: JobId): Boolean
 
--- a/src/main/kotlin/wardmux/renewal/LeaderKnowledge.kt
+++ b/src/main/kotlin/wardmux/renewal/LeaderKnowledge.kt
@@ -44,6 +44,9 @@
             return cancellations.informedAt + renewableFor
         }
 
+    override val cancellationsLearned: Long
+        get() = cancellations.learned + cluster.cancelled
+
     override fun isCancelled(job: JobId): Boolean {
         if (job in cancellations) return true
         val known = cluster.jobs[job] ?: return false
--- a/src/main/kotlin/wardmux/renewal/LeaseRenewals.kt
+++ b/src/main/kotlin/wardmux/renewal/LeaseRenewals.kt
@@ -71,6 +71,7 @@
     /** Machines whose lease was withheld last, so that each change is logged once. */
     private val withheld = HashSet<String>()
     private var uninformed = false
+    private val checked = CheckedReports()
 
     /** Whether [report] may be answered by a renewal, to the best of what is known. */
     fun decide(report: Report, knowledge: CancellationKnowledge): RenewalDecision {
@@ -82,12 +83,11 @@
         if (withheld.remove(report.machine)) {
             log.info("renewal=resumed machine={} token={}", report.machine, knowledge.token)
         }
+        val plainAnswer = plainAnswer(knowledge.token)
         val halts = halts(report, mustHalt, knowledge)
         counters.renewed(halts.size)
         if (mustHalt.isNotEmpty()) logHalts(report, halts, knowledge)
-        return RenewalDecision.Renew(
-            LeaseRenewal(knowledge.token, halts, plainAnswer(knowledge.token))
-        )
+        return RenewalDecision.Renew(LeaseRenewal(knowledge.token, halts, plainAnswer))
     }
 
     private fun halts(
@@ -95,13 +95,17 @@
         mustHalt: List<TaskAttempt>,
         knowledge: CancellationKnowledge,
     ): List<Order> {
+        val learned = knowledge.cancellationsLearned
+        if (mustHalt.isEmpty() && checked.isFree(report, learned)) return emptyList()
         var halts: ArrayList<Order>? = null
         for (task in report.tasks) {
             if (task.status == TaskStatus.ENDED || !isCancelled(task, mustHalt, knowledge)) continue
             val order = Order.halt(task.task, task.attempt, 0.0)
             halts = (halts ?: ArrayList()).also { it.add(order) }
         }
-        return halts ?: emptyList()
+        if (halts != null) return halts
+        checked.foundFree(report, learned)
+        return emptyList()
     }
 
     private fun isCancelled(
@@ -120,6 +124,7 @@
             plainAnswer = ReportResponse.plain(token)
             // Another leader: what it withholds is logged anew.
             withheld.clear()
+            checked.clear()
         }
         return plainAnswer
     }
--- a/src/test/kotlin/wardmux/renewal/RelayRenewalTest.kt
+++ b/src/test/kotlin/wardmux/renewal/RelayRenewalTest.kt
@@ -107,6 +107,19 @@
         assertContains(answer, halt)
     }
 
+    @Test
+    fun `a cancellation that becomes known halts what an unchanged report goes on showing`() {
+        mustHalt = emptyList()
+        begin()
+        machine.handleReport(token, running)
+        assertFalse("halt" in machine.handleReport(token, running))
+        cancelledJobs = listOf("job-000001")
+        harness.run(1.1.secs)
+        assertContains(machine.handleReport(token, running), halt)
+        // Again: the answer may have been lost.
+        assertContains(machine.handleReport(token, running), halt)
+    }
+
     @Test
     fun `an order that the leader left is not repeated beside the halt`() {
         begin()
