--- a/src/main/kotlin/wardmux/lead/LeaderSession.kt
+++ b/src/main/kotlin/wardmux/lead/LeaderSession.kt
@@ -250,7 +250,7 @@
         if (!loaded) return
         watchAt?.let { if (context.now >= it) watch() }
         health.watch()
-        if (leadership.leaseIsValid && context.now >= nextCutOffCheckAt) {
+        if (canHandOver && context.now >= nextCutOffCheckAt) {
             nextCutOffCheckAt = context.now + CUT_OFF_CHECK_PERIOD
             reasonToAbdicate()?.let {
                 return leadership.abdicate(it)
@@ -280,6 +280,13 @@
         placementStore.flush()
     }
 
+    /**
+     * Without the state service nobody can take the lease: who gives it up in an outage leaves all
+     * workers without a leader until it is over, and their leases run out.
+     */
+    private val canHandOver: Boolean
+        get() = leadership.leaseIsValid && store.troubledSince == null
+
     /** Why another controller may be better placed to lead, or null. */
     private fun reasonToAbdicate(): String? =
         when {
--- a/src/test/kotlin/wardmux/lead/LoneLeaderTest.kt
+++ b/src/test/kotlin/wardmux/lead/LoneLeaderTest.kt
@@ -1,6 +1,7 @@
 package wardmux.lead
 
 import kotlin.test.Test
+import kotlin.test.assertContains
 import kotlin.test.assertEquals
 import kotlin.test.assertNotEquals
 import kotlin.test.assertTrue
@@ -86,6 +87,27 @@
         assertTrue(harness.cloud.none { "delete" in it }, "machines are given up for its own cut")
     }
 
+    @Test
+    fun `a leader keeps its lease in an outage, in which nobody could take it`() {
+        val harness = ControllerHarness(siblings = listOf("n1"))
+        harness.run(2.secs)
+        val machines = List(11) { ManualWorker(harness, "i-0000$it") }
+        val token = machines.first().token()
+        val heartbeat = HeartbeatCodec.encode(Heartbeat("n1"))
+        repeat(5) {
+            for (machine in machines) machine.report(token)
+            harness.run(1.secs)
+        }
+        // None is heard for long enough to give the lease up, had the outage not begun.
+        harness.run(3.secs)
+        harness.outage()
+        repeat(4) {
+            harness.call("POST", "/beat", heartbeat, Port.PEER)
+            harness.run(1.secs)
+        }
+        assertContains(machines.first().handleReport(token), "\"baton\":$token")
+    }
+
     @Test
     fun `a former process's lease is never taken for the own, nor is a stranger's heartbeat heard`() {
         harness.writeLeased(
