Review case 3: the command line says nothing was done, and the drain starts

Case 3: a follower forwards an operator's start to the leader over an interrupted network, gets no answer and answers 503; the command line reports that nothing was carried out. The held request is carried out later. The stand-ins get a link between controllers that can be interrupted, and a port of the state service for each controller.

--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -43,6 +43,7 @@
     private final PrintWriter out;
     private final Map<String, Integer> apiPorts = new HashMap<>();
     private final Map<String, Integer> peerPorts = new HashMap<>();
+    private final Map<String, Link> links = new HashMap<>();
     private final Map<String, Process> processes = new ConcurrentHashMap<>();
     private final Map<String, Map<String, Object>> specs = new ConcurrentHashMap<>();
     private final Map<String, Double> cancelledAt = new ConcurrentHashMap<>();
@@ -50,7 +51,7 @@
     private final Set<String> results = ConcurrentHashMap.newKeySet();
     private final List<String> broken = new ArrayList<>();
     private final Set<String> late = new HashSet<>();
-    private final int storePort;
+    private final Map<String, Integer> storePorts = new HashMap<>();
     private final int cloudPort;
     /** The section `facts.state` in the settings of the controllers that are started from now. */
     volatile String stateSettings =
@@ -63,11 +64,13 @@
         directory = Files.createTempDirectory("wardmux-review");
         store = new Store(150, 60, 16, 48);
         cloud = new Cloud(this, types, 6);
-        storePort = Web.serve(store::handle);
         cloudPort = Web.serve(cloud::handle);
         for (String node : nodes) {
             apiPorts.put(node, Web.freePort());
             peerPorts.put(node, Web.freePort());
+            for (String other : nodes)
+                if (!other.equals(node)) links.put(other + ">" + node, new Link(peerPorts.get(node)));
+            storePorts.put(node, Web.serve((m, path, body) -> store.handle(node, m, path, body)));
         }
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
         Web.run(
@@ -144,6 +147,26 @@
         process.waitFor(10, TimeUnit.SECONDS);
     }
 
+    /** Interrupts the network between two controllers, or lets it go on. */
+    void interrupt(String one, String other, boolean hold) {
+        record("net   %s and %s: %s", one, other, hold ? "interrupted" : "connected again");
+        links.get(one + ">" + other).hold(hold);
+        links.get(other + ">" + one).hold(hold);
+    }
+
+    /** Runs the operators' command line; returns its exit code and output. */
+    String[] command(String... arguments) throws Exception {
+        List<String> command =
+                new ArrayList<>(List.of("java", "-Xmx128m", "-jar", "target/wardmux.jar"));
+        command.addAll(Arrays.asList(arguments));
+        record("operator: wardmux %s", String.join(" ", arguments));
+        Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
+        String output = new String(process.getInputStream().readAllBytes()).strip();
+        int code = process.waitFor();
+        record("operator: exit code %d: %s", code, output);
+        return new String[] {"" + code, output};
+    }
+
     /** Stops or continues a controller. */
     void signal(String node, String name) throws Exception {
         record("signal %s %s", name, node);
@@ -170,10 +193,11 @@
             if (other.equals(node)) continue;
             text.append("[[siblings]]\nmember = \"" + other + "\"\nsite = \"");
             text.append(SITES[nodes.indexOf(other)] + "\"\naddr = \"" + Web.HOST + ":");
-            text.append(peerPorts.get(other) + "\"\n\n");
+            text.append(links.get(node + ">" + other).port() + "\"\n\n");
         }
         text.append("[services]\ncloud = \"" + Web.HOST + ":" + cloudPort + "\"\n");
-        text.append("state = \"" + Web.HOST + ":" + storePort + "\"\n\n[facts]\nnodes = 3\n");
+        text.append("state = \"" + Web.HOST + ":" + storePorts.get(node) + "\"\n\n");
+        text.append("[facts]\nnodes = 3\n");
         text.append("zones = [\"gyor-north\", \"pest-east\", \"pest-west\"]\n");
         text.append("clock_error_ms = 250.0\n\n");
         for (int team = 0; team < 10; team++) {
--- a/review/rig/Store.java
+++ b/review/rig/Store.java
@@ -16,9 +16,9 @@
         long endsAt;
     }
 
-    /** Decides what happens to a request before it is served; null serves it. */
+    /** Decides what happens to a controller's request before it is served; null serves it. */
     interface Fault {
-        Web.Answer before(String method, String path, String body);
+        Web.Answer before(String node, String method, String path, String body);
     }
 
     private final TreeMap<String, Item> items = new TreeMap<>();
@@ -33,7 +33,7 @@
     private long refilledAt = System.nanoTime();
     private long epoch = 100;
     private long lastPermit = 6;
-    volatile Fault fault = (method, path, body) -> null;
+    volatile Fault fault = (node, method, path, body) -> null;
 
     Store(double rps, double writeRps, double valueKb, int txnOps) {
         this.rps = rps;
@@ -51,9 +51,14 @@
                 });
     }
 
-    Web.Answer handle(String method, String path, String body) throws InterruptedException {
-        Web.Answer early = fault.before(method, path, body);
-        if (early != null) return early;
+    Web.Answer handle(String node, String method, String path, String body)
+            throws InterruptedException {
+        Web.Answer early = fault.before(node, method, path, body);
+        return early != null ? early : serve(method, path, body);
+    }
+
+    /** Serves a request. */
+    Web.Answer serve(String method, String path, String body) throws InterruptedException {
         if (!take(1, 0)) return new Web.Answer(429, "{\"error\":\"rate\"}");
         String name = path.contains("?") ? path.substring(0, path.indexOf('?')) : path;
         Map<String, String> query = query(path);
