--- a/review/rig/LayoutChange.java
+++ b/review/rig/LayoutChange.java
@@ -53,8 +53,8 @@
         Rig.sleep(6);
         rig.record("stored pages: %s", rig.store.under("t/"));
         // One controller crashes, and is back about 8 s later.
+        rig.await("a leader", 15, () -> rig.leader() != null);
         String leader = rig.leader();
-        if (leader == null) throw new Rig.CannotRun("no leader");
         rig.kill(leader);
         Rig.sleep(8);
         rig.start(leader);
