Ended attempts are retained for their time, however many a machine lists

Cause: a worker runs a repeated start of an attempt that it was told to forget. The leader keeps ended attempts on their machine for ten leases because of that, but EndedAttempts gave up the oldest beyond 64, to keep heartbeats short. One cancellation of 80 small tasks exceeds that.

Others that were stopped, failed or were refused share the list.

Change: the limit is gone. A machine gets no new tasks while its heartbeats list 600 tasks, ended ones included, which is what the protocol's 64 KiB hold (Machine.listingRoom); only its load counts as capacity then, and nothing is preempted there. The retention of an attempt is no longer begun anew when its forget command is lost. Heartbeats of any valid size are cached; the cache's total size is limited as before.

--- a/src/main/kotlin/wardmux/cloud/CapacityController.kt
+++ b/src/main/kotlin/wardmux/cloud/CapacityController.kt
@@ -91,13 +91,22 @@
     /** The capacity of [pool], including rental requests whose outcome is pending. */
     private fun capacityOf(pool: MachinePool, poolMachines: List<Machine>): PoolCapacity {
         val usable = poolMachines.filter { countsAsCapacity(it) }
-        val ordinary = usable.filter { !it.spot }.sumOf { pool.weightOf(it.type) }
-        val spot = usable.filter { it.spot }.sumOf { pool.weightOf(it.type) }
+        val ordinary = usable.filter { !it.spot }.sumOf { capacityOf(pool, it) }
+        val spot = usable.filter { it.spot }.sumOf { capacityOf(pool, it) }
         val pendingOrdinary = pendingCapacity(pool, spot = false)
         val total = ordinary + spot + pendingOrdinary + pendingCapacity(pool, spot = true)
         return PoolCapacity(total, ordinary + pendingOrdinary)
     }
 
+    /**
+     * The capacity of [machine], in machines of the base type of [pool]. Of a machine that may not
+     * get further tasks, because its heartbeats cannot list more, only what is in use counts.
+     */
+    private fun capacityOf(pool: MachinePool, machine: Machine): Double {
+        val usableShare = if (machine.listingRoom > 0) 1.0 else machine.load
+        return usableShare * pool.weightOf(machine.type)
+    }
+
     /**
      * True if [machine] counts towards the capacity of its pool. A machine that an operators' drain
      * has to empty does not count, so that a replacement for it is rented.
--- a/src/main/kotlin/wardmux/fleet/HeartbeatCommands.kt
+++ b/src/main/kotlin/wardmux/fleet/HeartbeatCommands.kt
@@ -28,9 +28,9 @@
      * a direct start may be delivered late. If the machine had forgotten the attempt, it would run
      * the attempt again, in parallel with the task's next attempt or although its job was cancelled
      * since. Such attempts are therefore forgotten only after this time or when the worker's
-     * incarnation ends; if a machine has very many, the oldest are forgotten earlier (see
-     * [Machine.mayForget]). Completed attempts need no retention, because a late start does not run
-     * a completed task again.
+     * incarnation ends. If a machine has very many of them, it gets no further tasks instead (see
+     * [Machine.listingRoom]). Completed attempts need no retention, because a late start does not
+     * run a completed task again.
      */
     private val endedAttemptRetention = (workers.leaseS * ENDED_ATTEMPT_RETENTION_LEASES).seconds
 
@@ -93,7 +93,11 @@
     private fun mayForget(machine: Machine, reported: ReportedTask): Boolean {
         if (reported.taskAttempt in machine.unconfirmedStarts) return false
         if (reported.cause != TaskEndCause.DONE) {
-            return machine.mayForget(reported.taskAttempt, context.now, endedAttemptRetention)
+            return machine.endedAttempts.isRetentionOver(
+                reported.taskAttempt,
+                context.now,
+                endedAttemptRetention,
+            )
         }
         val task = TaskId.parse(reported.task) ?: return true
         val job = cluster.jobs[task.job] ?: return true
--- a/src/main/kotlin/wardmux/fleet/TaskReconciler.kt
+++ b/src/main/kotlin/wardmux/fleet/TaskReconciler.kt
@@ -30,6 +30,7 @@
      * without a placement that have not ended become the machine's orphans.
      */
     fun reconcile(machine: Machine, heartbeat: WorkerHeartbeat) {
+        recordEnded(machine, heartbeat)
         var orphans: ArrayList<JobSpec>? = null
         for (reported in heartbeat.tasks) {
             val placement = machine.placementOf(reported.task, reported.attempt)
@@ -51,6 +52,11 @@
         cluster.setOrphans(machine, orphans ?: emptyList())
     }
 
+    private fun recordEnded(machine: Machine, heartbeat: WorkerHeartbeat) {
+        val ended = heartbeat.tasks.filter { it.status == TaskStatus.ENDED }.map { it.taskAttempt }
+        machine.endedAttempts.update(ended, context.now)
+    }
+
     /**
      * Releases the placements on [machine] that should be absent and that [heartbeat] does not
      * list: those being stopped, those of ended jobs, and those restored from records of an earlier
--- a/src/main/kotlin/wardmux/model/EndedAttempts.kt
+++ b/src/main/kotlin/wardmux/model/EndedAttempts.kt
@@ -1,31 +1,34 @@
 package wardmux.model
 
 /**
- * The attempts that ended on a machine without completing, with the time at which the machine first
- * reported each of them as ended.
+ * The ended attempts that a machine lists in its heartbeats, with the time at which the machine
+ * first reported each of them as ended. The machine keeps listing an attempt until it is told to
+ * forget it.
  */
 class EndedAttempts {
-    /** In insertion order, so the attempt that was reported first is the first key. */
-    private val firstReportedAt = LinkedHashMap<TaskAttempt, Micros>()
+    private val firstReportedAt = HashMap<TaskAttempt, Micros>()
+
+    /** The number of ended attempts that the machine lists. */
+    val count: Int
+        get() = firstReportedAt.size
 
     /**
-     * Returns true if the machine may forget [attempt], which it reports as ended: the attempt was
-     * first reported as ended more than [retention] ago, or it is the oldest of more than
-     * [MAX_RETAINED_ATTEMPTS] attempts. An attempt that may be forgotten is removed from this list.
+     * Replaces the attempts by [listed], the ended attempts of a heartbeat that arrived at [now].
      */
-    fun mayForget(attempt: TaskAttempt, now: Micros, retention: Micros): Boolean {
-        val reportedSince = firstReportedAt.getOrPut(attempt) { now }
-        val exceedsLimit =
-            firstReportedAt.size > MAX_RETAINED_ATTEMPTS && firstReportedAt.keys.first() == attempt
-        if (!exceedsLimit && now - reportedSince <= retention) return false
-        firstReportedAt.remove(attempt)
-        return true
+    fun update(listed: Collection<TaskAttempt>, now: Micros) {
+        for (attempt in listed) firstReportedAt.putIfAbsent(attempt, now)
+        if (firstReportedAt.size > listed.size) firstReportedAt.keys.retainAll(listed.toHashSet())
+    }
+
+    /**
+     * Returns true if [attempt] was first reported as ended more than [retention] before [now].
+     * Nothing else ends the retention, however many attempts the machine lists.
+     */
+    fun isRetentionOver(attempt: TaskAttempt, now: Micros, retention: Micros): Boolean {
+        val reportedSince = firstReportedAt[attempt] ?: return false
+        return now - reportedSince > retention
     }
 
     /** Removes all attempts, because a new incarnation of the worker starts without tasks. */
     fun clear() = firstReportedAt.clear()
-
-    private companion object {
-        const val MAX_RETAINED_ATTEMPTS = 64
-    }
 }
--- a/src/main/kotlin/wardmux/model/Machine.kt
+++ b/src/main/kotlin/wardmux/model/Machine.kt
@@ -251,7 +251,9 @@
     val images = ImageCache(type)
 
     private val resources = MachineResources(type)
-    private val endedAttempts = EndedAttempts()
+
+    /** The ended attempts that the newest heartbeat lists. */
+    val endedAttempts = EndedAttempts()
 
     /** The placements on the machine, by the task name that heartbeats use. */
     val placements = LinkedHashMap<String, Placement>()
@@ -291,11 +293,22 @@
     val freeMemoryGb: Double
         get() = resources.freeMemoryGb
 
+    /**
+     * The number of further tasks that the machine may get, at least 0, so that its heartbeats can
+     * list all of its tasks. Ended attempts count until the machine has forgotten them, which for
+     * most takes as long as their retention.
+     */
+    val listingRoom: Int
+        get() {
+            val listed = placements.size + orphans.size + endedAttempts.count
+            return (MAX_LISTED_TASKS - listed).coerceAtLeast(0)
+        }
+
     /** Returns true if the machine has room for one more task of [spec]. */
-    fun fits(spec: JobSpec): Boolean = resources.fits(spec)
+    fun fits(spec: JobSpec): Boolean = listingRoom > 0 && resources.fits(spec)
 
     /** The number of further tasks of [spec] for which the machine has room. */
-    fun roomFor(spec: JobSpec): Int = resources.roomFor(spec)
+    fun roomFor(spec: JobSpec): Int = minOf(resources.roomFor(spec), listingRoom)
 
     /** The placement of this [attempt] of [task] on the machine, or null if there is none. */
     fun placementOf(task: String, attempt: Int): Placement? =
@@ -319,7 +332,12 @@
         if (isEmpty) idleSince = now
     }
 
-    /** See [EndedAttempts.mayForget]. */
-    fun mayForget(attempt: TaskAttempt, now: Micros, retention: Micros): Boolean =
-        endedAttempts.mayForget(attempt, now, retention)
+    companion object {
+        /**
+         * The most tasks that a machine may have to list in a heartbeat, ended ones included. The
+         * protocol limits a heartbeat to 64 KiB, and a longer one is refused, so that the worker
+         * would lose its lease. A listed task takes up to 100 bytes.
+         */
+        const val MAX_LISTED_TASKS = 600
+    }
 }
--- a/src/main/kotlin/wardmux/scheduling/Preemption.kt
+++ b/src/main/kotlin/wardmux/scheduling/Preemption.kt
@@ -204,8 +204,11 @@
     /** True if [job] can use room that is freed on [machine]. */
     private fun isUsefulRoom(job: Job, machine: Machine, taskCounts: Map<String, Int>): Boolean {
         val spec = job.spec
+        // A stopped task stays listed, so stopping tasks makes no room in the heartbeats.
         val fits =
-            planner.eligibility.satisfiesConstraints(spec, machine) && machine.type.fits(spec)
+            machine.listingRoom > 0 &&
+                planner.eligibility.satisfiesConstraints(spec, machine) &&
+                machine.type.fits(spec)
         if (!fits || planner.typeReservations.isReservedFromTask(spec, machine.type)) return false
         // The room is of no use in a zone that already has its share of the job's tasks.
         if (!planner.eligibility.isZoneAllowed(machine.zone, spec, taskCounts)) return false
--- a/src/main/kotlin/wardmux/worker/WorkerHeartbeatReader.kt
+++ b/src/main/kotlin/wardmux/worker/WorkerHeartbeatReader.kt
@@ -44,7 +44,7 @@
         val heartbeat = parse(body) ?: return null
         val scannedFieldsMatch =
             heartbeat.machine == machine && heartbeat.tick == parseNumber(body, tickStart, tickEnd)
-        if (scannedFieldsMatch && body.size <= MAX_CACHED_BODY_BYTES) {
+        if (scannedFieldsMatch) {
             addToCache(machine, CachedHeartbeat(body, tickStart, tickEnd, heartbeat))
         }
         return heartbeat
@@ -131,6 +131,5 @@
         const val COLON = ':'.code.toByte()
         const val ZERO = '0'.code.toByte()
         const val NINE = '9'.code.toByte()
-        const val MAX_CACHED_BODY_BYTES = 8 * 1024
     }
 }
--- a/src/test/kotlin/wardmux/sim/ClusterSimulation.kt
+++ b/src/test/kotlin/wardmux/sim/ClusterSimulation.kt
@@ -107,6 +107,9 @@
     var onStartDecided:
         ((controller: String, machine: String?, task: String, attempt: Int) -> Unit)? =
         null
+
+    /** Called when a direct command reaches a worker that executes it, with the command's body. */
+    var onDirectCommand: ((worker: FakeWorker, body: String) -> Unit)? = null
     private val connections = WorkerConnections(SocketBudget(fdLimit).workers)
     private val effectDigest = EffectDigest.start()
     private var startedProcesses = 0L
@@ -286,10 +289,12 @@
             worker.unresponsive ->
                 clock.after(500.milliseconds) { deliverToWorker(worker, path, body, respond) }
             path == "/status" -> respond(200, worker.heartbeatBody())
-            else ->
+            else -> {
+                onDirectCommand?.invoke(worker, body)
                 worker.executeDirect(body)?.let { (status, heartbeat) ->
                     respond(status, heartbeat)
                 }
+            }
         }
     }
 
