A machine that lists the tasks of its unanswered starts gets further tasks

A job that was accepted afterwards did not start, though every machine had room, and no machine was rented.

Cause: a direct start without a response kept its machine from new tasks until the worker's incarnation ended or the machine was empty, which a machine with a service never is. That the worker had listed the tasks since was not used, and the machine counted as capacity all the while.

Change (model/DirectStarts): the guard ends when the worker lists every task of its unanswered starts, in any state; a late start then has no effect as long as the worker remembers the attempt. Related paths: machines that lack a start for more than twice the longest lease are replaced however many they are; a machine that lacks a start for long does not count as capacity. The log says when a machine lists its unanswered starts.

Tried and dropped: to send an unanswered start again to a machine whose heartbeats come through a forwarder.

--- a/src/main/kotlin/wardmux/cloud/CapacityController.kt
+++ b/src/main/kotlin/wardmux/cloud/CapacityController.kt
@@ -109,12 +109,14 @@
 
     /**
      * True if [machine] counts towards the capacity of its pool. A machine that an operators' drain
-     * has to empty does not count, so that a replacement for it is rented.
+     * has to empty does not count, so that a replacement for it is rented, nor does one that gets
+     * no tasks because a start has not reached it.
      */
     private fun countsAsCapacity(machine: Machine) =
         machine.preemptionNoticeAt == null &&
             !machine.hasOnlyStaleHeartbeats &&
             !machine.isScalingIn &&
+            !machine.hasOverdueStart &&
             machine.maintenance == Maintenance.NONE
 
     /** The capacity for which rental requests are pending, in machines of the base type. */
--- a/src/main/kotlin/wardmux/cloud/JobProvisioner.kt
+++ b/src/main/kotlin/wardmux/cloud/JobProvisioner.kt
@@ -51,6 +51,7 @@
         cluster.machines.values.any {
             !it.isDecommissioned &&
                 it.preemptionNoticeAt == null &&
+                !it.hasOverdueStart &&
                 (it.maintenance == Maintenance.NONE || it.maintenance == Maintenance.PREPARING) &&
                 eligibility.couldRun(job, it.type, it.zone, it.spot) &&
                 mayHaveRoomLater(job, it)
--- a/src/main/kotlin/wardmux/drain/StepExecutor.kt
+++ b/src/main/kotlin/wardmux/drain/StepExecutor.kt
@@ -49,7 +49,7 @@
      */
     private fun isEmptied(machine: Machine) =
         machine.isEmpty &&
-            machine.unconfirmedStarts.isEmpty() &&
+            machine.directStarts.unconfirmed.isEmpty() &&
             !machine.isCommandInFlight &&
             context.now - machine.idleSince > TASK_END_RECORDING_TIME
 
--- a/src/main/kotlin/wardmux/fleet/DirectCommandSender.kt
+++ b/src/main/kotlin/wardmux/fleet/DirectCommandSender.kt
@@ -17,7 +17,7 @@
 /**
  * Sends new commands directly to the machines, instead of waiting for their next heartbeat and
  * putting the commands in the response to it. If a machine does not respond, it is unknown whether
- * it carries out a command: see [Machine.unconfirmedStarts].
+ * it carries out a command: see [Machine.directStarts].
  */
 class DirectCommandSender(
     private val context: CoreContext,
@@ -83,15 +83,18 @@
                 hasMore = true
             }
         }
-        for (placement in starts) {
-            placement.markStartSent(context.now)
-            machine.unconfirmedStarts.add(placement.taskAttempt)
-            commands.add(WorkerCommand.start(placement.name, placement.attempt))
-        }
+        for (placement in starts) commands.add(start(machine, placement))
         if (commands.isNotEmpty()) send(machine, commands, starts)
         return hasMore
     }
 
+    private fun start(machine: Machine, placement: Placement): WorkerCommand {
+        val wasSentBefore = placement.startedAt != null
+        machine.directStarts.recordSent(placement.taskAttempt, wasSentBefore)
+        placement.markStartSent(context.now)
+        return WorkerCommand.start(placement.name, placement.attempt)
+    }
+
     private fun stop(placement: Placement): WorkerCommand {
         val gracePeriod = if (placement.job.hasEnded) Micros.ZERO else placement.gracePeriod
         val inSeconds = (gracePeriod ?: Micros.ZERO).inSeconds
@@ -131,7 +134,7 @@
                 is Outcome.NotSent -> {
                     machine.connectionFailedAt = context.now
                     for (placement in starts) placement.isStartSent = false
-                    removeUnconfirmed(machine, incarnation, starts)
+                    recordOutcome(machine, incarnation, starts)
                 }
                 is Outcome.NoResponse -> handleNoResponse(machine, incarnation, starts)
             }
@@ -146,7 +149,7 @@
     ) {
         val accepted = response.status == HttpStatus.OK
         if (!accepted) for (placement in starts) placement.isStartSent = false
-        removeUnconfirmed(machine, incarnation, starts)
+        recordOutcome(machine, incarnation, starts)
         // A worker that refuses the commands because of their fencing token or incarnation also
         // responds with its state.
         if (accepted || response.status == HttpStatus.CONFLICT) client.accept(machine, response)
@@ -155,16 +158,16 @@
     private fun handleNoResponse(machine: Machine, incarnation: Long, starts: List<Placement>) {
         if (machine.incarnation != incarnation || starts.isEmpty()) return
         log.info("machine {} did not respond to {} direct start commands", machine.id, starts.size)
-        machine.recordUnansweredStart(context.now)
+        machine.directStarts.recordUnanswered(starts.map { it.taskAttempt }, context.now)
     }
 
     /**
-     * Removes [starts] from the unconfirmed starts of [machine], unless its worker has a new
-     * incarnation. Each of them was either carried out or never will be.
+     * Records that the request with [starts] was carried out or never will be, unless the worker of
+     * [machine] has a new incarnation.
      */
-    private fun removeUnconfirmed(machine: Machine, incarnation: Long, starts: List<Placement>) {
+    private fun recordOutcome(machine: Machine, incarnation: Long, starts: List<Placement>) {
         if (machine.incarnation != incarnation) return
-        for (placement in starts) machine.unconfirmedStarts.remove(placement.taskAttempt)
+        machine.directStarts.recordOutcome(starts.map { it.taskAttempt })
     }
 
     private companion object {
--- a/src/main/kotlin/wardmux/fleet/HeartbeatCommands.kt
+++ b/src/main/kotlin/wardmux/fleet/HeartbeatCommands.kt
@@ -81,24 +81,30 @@
             if (placement.lastSeenTick == heartbeat.tick) continue
             if (!placement.mayStartOn(machine)) continue
             commands.add(WorkerCommand.start(placement.name, placement.attempt))
+            machine.directStarts.recordSentInResponse(placement.taskAttempt)
             placement.markStartSent(context.now)
         }
     }
 
     /**
-     * Whether [machine] may forget the ended task [reported]. A completed task may be forgotten
-     * only after its completion is recorded in the key-value store, because until then only this
-     * leader and the machine know of it.
+     * Whether [machine] may forget the ended task [reported]. An attempt that did not complete its
+     * task is kept for the retention or, while a direct request may still start it, until the
+     * worker's incarnation ends. A completed task is kept until its completion is recorded.
      */
     private fun mayForget(machine: Machine, reported: ReportedTask): Boolean {
-        if (reported.taskAttempt in machine.unconfirmedStarts) return false
-        if (reported.cause != TaskEndCause.DONE) {
-            return machine.endedAttempts.isRetentionOver(
-                reported.taskAttempt,
-                context.now,
-                endedAttemptRetention,
-            )
-        }
+        val attempt = reported.taskAttempt
+        val mayBeStarted = machine.directStarts.mayBeCarriedOut(attempt)
+        val isRetentionOver =
+            machine.endedAttempts.isRetentionOver(attempt, context.now, endedAttemptRetention)
+        if (reported.cause != TaskEndCause.DONE) return isRetentionOver && !mayBeStarted
+        return isCompletionRecorded(reported) && (isRetentionOver || !mayBeStarted)
+    }
+
+    /**
+     * Whether the completion of the task [reported] is recorded in the key-value store. Until then
+     * only this leader and the machine know of it.
+     */
+    private fun isCompletionRecorded(reported: ReportedTask): Boolean {
         val task = TaskId.parse(reported.task) ?: return true
         val job = cluster.jobs[task.job] ?: return true
         return job.hasEnded || job.isRecordedDone(task.index)
--- a/src/main/kotlin/wardmux/fleet/MachineHealthMonitor.kt
+++ b/src/main/kotlin/wardmux/fleet/MachineHealthMonitor.kt
@@ -4,7 +4,6 @@
 import wardmux.logging.logger
 import wardmux.model.Machine
 import wardmux.model.Micros
-import wardmux.model.Placement
 import wardmux.model.milliseconds
 import wardmux.model.seconds
 import wardmux.scheduling.ClusterState
@@ -61,6 +60,7 @@
 
     private fun check(machine: Machine, candidates: DecommissionCandidates) {
         val silence = context.now - (machine.lastHeartbeatAt ?: return)
+        machine.hasOverdueStart = unlistedFor(machine) > timeouts.unlistedStart
         if (!machine.isEmpty && leaseExpiry.hasExpired(machine)) expireLease(machine, silence)
         if (machine.hasUnansweredStart && machine.forwardedBy != null) releaseUnsentStarts(machine)
         if (isPreempted(machine, silence)) {
@@ -94,7 +94,7 @@
             // No new tasks are started on this machine, so the unanswered start can do no harm.
             machine.hasUnansweredStart && machine.isEmpty ->
                 decommissioner.decommission(machine, DecommissionReason.START_UNANSWERED)
-            hasUnlistedStart(machine) -> candidates.withUnlistedStart.add(machine)
+            machine.hasOverdueStart -> candidates.withUnlistedStart.add(machine)
         }
     }
 
@@ -129,17 +129,16 @@
     /**
      * Decommissions the [candidates], out of [up] machines that are up. If too many have the same
      * problem at once, a network fault is more likely than faults of the machines: they are kept,
-     * and only the expiry of a lease releases the tasks. Machines that are silent for more than
-     * twice the longest lease duration are decommissioned in any case.
+     * and only the expiry of a lease releases the tasks. Machines that have had the problem for
+     * more than twice the longest lease duration are decommissioned in any case, unless only their
+     * probes fail.
      */
     private fun decommission(candidates: DecommissionCandidates, up: Int) {
         val maxAtOnce = maxOf(MIN_BULK_LIMIT, up / BULK_LIMIT_DIVISOR)
+        val maxDuration = leaseExpiry.maxLeaseDuration * 2.0
         for (machine in candidates.silent) {
             val silence = context.now - (machine.lastHeartbeatAt ?: continue)
-            val maxLeaseDuration = leaseExpiry.maxLeaseDuration
-            if (
-                candidates.silent.size <= maxAtOnce || silence > maxLeaseDuration + maxLeaseDuration
-            )
+            if (candidates.silent.size <= maxAtOnce || silence > maxDuration)
                 decommissioner.decommission(machine, DecommissionReason.SILENT)
         }
         if (
@@ -150,35 +149,31 @@
                 decommissioner.decommission(machine, DecommissionReason.SILENT_AND_UNREACHABLE)
             }
         }
-        if (candidates.withUnlistedStart.size <= maxAtOnce) {
-            for (machine in candidates.withUnlistedStart) {
+        for (machine in candidates.withUnlistedStart) {
+            if (
+                candidates.withUnlistedStart.size <= maxAtOnce || unlistedFor(machine) > maxDuration
+            )
                 decommissioner.decommission(machine, DecommissionReason.STARTS_NOT_REPORTED)
-            }
         }
     }
 
     /**
-     * Whether heartbeats of [machine] arrive but do not list a task whose start was sent more than
-     * [HeartbeatTimeouts.unlistedStart] before the last of them. The start may still be in flight,
-     * so only deleting the machine frees the task, its resources and its quota.
+     * For how long heartbeats of [machine] have arrived without listing a task whose start was
+     * sent; zero if there is no such task. The start may still be in flight, so only deleting the
+     * machine frees the task, its resources and its quota.
      */
-    private fun hasUnlistedStart(machine: Machine): Boolean {
-        val lastHeartbeatAt = machine.lastHeartbeatAt ?: return false
-        return machine.placements.values.any {
-            if (it.status != null) return@any false
-            val startedAt = it.startedAt ?: unansweredStartSince(machine, it)
-            startedAt != null && lastHeartbeatAt - startedAt > timeouts.unlistedStart
+    private fun unlistedFor(machine: Machine): Micros {
+        val lastHeartbeatAt = machine.lastHeartbeatAt ?: return Micros.ZERO
+        // After the stored state was loaded again, the placements no longer tell that their starts
+        // were sent.
+        var earliestStart = machine.directStarts.unansweredSince ?: Micros.NEVER
+        for (placement in machine.placements.values) {
+            val startedAt = placement.startedAt ?: continue
+            if (placement.status == null) earliestStart = minOf(earliestStart, startedAt)
         }
+        return maxOf(lastHeartbeatAt - earliestStart, Micros.ZERO)
     }
 
-    /**
-     * Since when a direct start to [machine] has gone unanswered, if the start of [placement] is
-     * unconfirmed; null otherwise. After the stored state was loaded again, the placement itself no
-     * longer tells that its start was sent.
-     */
-    private fun unansweredStartSince(machine: Machine, placement: Placement): Micros? =
-        machine.startUnansweredSince.takeIf { placement.taskAttempt in machine.unconfirmedStarts }
-
     private fun upMachines() = cluster.machines.values.filter { it.isUp && !it.isDecommissioned }
 
     /**
--- a/src/main/kotlin/wardmux/fleet/TaskReconciler.kt
+++ b/src/main/kotlin/wardmux/fleet/TaskReconciler.kt
@@ -31,6 +31,7 @@
      */
     fun reconcile(machine: Machine, heartbeat: WorkerHeartbeat) {
         recordEnded(machine, heartbeat)
+        confirmStarts(machine, heartbeat)
         var orphans: ArrayList<JobSpec>? = null
         for (reported in heartbeat.tasks) {
             val placement = machine.placementOf(reported.task, reported.attempt)
@@ -57,6 +58,24 @@
         machine.endedAttempts.update(ended, context.now)
     }
 
+    /**
+     * Records that the unanswered starts whose tasks [heartbeat] lists have reached [machine]. Once
+     * all have, the machine may get further tasks.
+     */
+    private fun confirmStarts(machine: Machine, heartbeat: WorkerHeartbeat) {
+        if (machine.directStarts.isEmpty) return
+        val unansweredSince = machine.directStarts.unansweredSince
+        machine.directStarts.recordListed(heartbeat.tasks.map { it.taskAttempt })
+        if (unansweredSince == null || machine.hasUnansweredStart) return
+        log.info(
+            "machine {} lists the tasks of all starts, unanswered since {} s",
+            machine.id,
+            (context.now - unansweredSince).inSeconds,
+        )
+        cluster.machinesWithCommands.add(machine)
+        cluster.markChanged()
+    }
+
     /**
      * Releases the placements on [machine] that should be absent and that [heartbeat] does not
      * list: those being stopped, those of ended jobs, and those restored from records of an earlier
@@ -76,7 +95,7 @@
                 shouldBeAbsent &&
                     it.isCommitted &&
                     it.lastSeenTick != heartbeat.tick &&
-                    it.taskAttempt !in machine.unconfirmedStarts
+                    !machine.directStarts.isUnconfirmed(it.taskAttempt)
             }
         for (placement in absent) cluster.release(placement, "not on the machine")
     }
--- a/src/main/kotlin/wardmux/lease/LeaderCancellationView.kt
+++ b/src/main/kotlin/wardmux/lease/LeaderCancellationView.kt
@@ -88,7 +88,7 @@
      * the stored state is loaded again, nothing else is known about the tasks on a machine.
      */
     private fun cancelledUnconfirmedStarts(machine: MachineId): List<TaskAttempt> =
-        cluster.machines[machine]?.unconfirmedStarts.orEmpty().filter { attempt ->
+        cluster.machines[machine]?.directStarts?.unconfirmed.orEmpty().filter { attempt ->
             TaskId.parse(attempt.task)?.let { isCancelled(it.job) } == true
         }
 
--- a/src/main/kotlin/wardmux/model/Machine.kt
+++ b/src/main/kotlin/wardmux/model/Machine.kt
@@ -68,10 +68,9 @@
      */
     fun startIncarnation(incarnation: Long, now: Micros) {
         this.incarnation = incarnation
-        // Direct commands name the incarnation, so the worker refuses those for an earlier one.
-        unconfirmedStarts.clear()
+        directStarts.clear()
+        hasOverdueStart = false
         endedAttempts.clear()
-        startUnansweredSince = null
         incarnationSince = now
     }
 
@@ -138,24 +137,21 @@
     val isUnreachable: Boolean
         get() = connectionFailedAt > (lastHeartbeatAt ?: Micros.LONG_AGO)
 
+    /** The direct starts to the current incarnation that may still be carried out. */
+    val directStarts = DirectStarts()
+
     /**
-     * The attempts whose direct start is in flight or unanswered. Until the start is confirmed, the
-     * absence of such an attempt from a heartbeat does not prove that it is not on the machine. The
-     * worker must not forget the attempt either, because a start that is carried out afterwards
-     * would run it again.
+     * True if a direct start to the current incarnation is unanswered and the worker does not list
+     * its task. The machine then gets no further tasks.
      */
-    val unconfirmedStarts = HashSet<TaskAttempt>()
+    val hasUnansweredStart: Boolean
+        get() = directStarts.unansweredSince != null
 
     /**
-     * The time since which a direct start to the current incarnation has been unanswered, or null.
-     * Such a start may still be carried out at any time.
+     * True if heartbeats have for long not listed a task whose start was sent. The machine then
+     * does not count as capacity.
      */
-    var startUnansweredSince: Micros? = null
-        private set
-
-    /** True if a direct start to the current incarnation is unanswered. */
-    val hasUnansweredStart: Boolean
-        get() = startUnansweredSince != null
+    var hasOverdueStart = false
 
     /** Records that a direct command is sent. */
     fun recordCommandSent(now: Micros) {
@@ -168,11 +164,6 @@
         isCommandInFlight = false
     }
 
-    /** Records that a direct start was not answered. */
-    fun recordUnansweredStart(now: Micros) {
-        if (startUnansweredSince == null) startUnansweredSince = now
-    }
-
     // Whether the machine may be used.
 
     /** When the cloud provider's preemption notice arrived, or null if there is none. */
--- a/src/test/kotlin/wardmux/sim/LateCommandFaultsTest.kt
+++ b/src/test/kotlin/wardmux/sim/LateCommandFaultsTest.kt
@@ -13,8 +13,33 @@
  */
 class LateCommandFaultsTest {
     /** With odd seeds all controllers take heartbeats, with even ones the leader alone does. */
-    private fun simulationOf(seed: Long) =
-        ClusterSimulation(seed, operators = forwardingSettings(seed % 2 != 0L))
+    private fun simulationOf(seed: Long, capacityPerZone: Int = 3) =
+        ClusterSimulation(
+            seed,
+            operators = forwardingSettings(seed % 2 != 0L),
+            capacityPerZone = capacityPerZone,
+        )
+
+    /**
+     * A cluster of three ordinary machines, with no more to rent, that each run two replicas of
+     * [service] and have 4 CPUs free, so that none ever becomes empty.
+     */
+    private class ThreeMachines(val simulation: ClusterSimulation) {
+        val clock = simulation.clock
+        val service =
+            simulation.unconstrainedService("team-0", 6).copy(cpus = 6.0, spot = false).also {
+                simulation.submit(it)
+            }
+
+        /** A job of short tasks that need one CPU each. */
+        fun shortJob(team: String, tasks: Int) =
+            simulation
+                .unconstrainedJob(JobKind.ARRAY, team, tasks, cpus = 1.0, estimateS = 5.0)
+                .copy(spot = false)
+
+        fun replicaCounts() =
+            simulation.cloud.workers().map { it.taskStatusesOf(service.id).size }.filter { it > 0 }
+    }
 
     private fun assertNoViolations(simulation: ClusterSimulation) =
         assertEquals(emptyList(), simulation.violations().distinct().take(4), "violated invariants")
@@ -62,4 +87,43 @@
         simulation.run(120.seconds)
         assertNoViolations(simulation)
     }
+
+    /**
+     * Such machines got no further tasks for ever, although they listed all tasks of the starts.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4, 5, 6])
+    fun `machines whose start commands were held up get further tasks`(seed: Long) {
+        val cluster = ThreeMachines(simulationOf(seed, capacityPerZone = 1))
+        val simulation = cluster.simulation
+        val clock = cluster.clock
+        val heldJob = cluster.shortJob("team-1", 12)
+        val laterJob = cluster.shortJob("team-2", 2)
+        clock.after(FAULT_START) {
+            assertEquals(listOf(2, 2, 2), cluster.replicaCounts(), "replicas on each machine")
+            holdDirectCommands(simulation)
+            simulation.submit(heldJob)
+        }
+        clock.after(FAULT_START + 20.seconds) {
+            simulation.submit(laterJob)
+            simulation.startWorkConservationChecks()
+        }
+        simulation.run(FAULT_START + 120.seconds)
+        assertNoViolations(simulation)
+        assertEquals("done", simulation.invariants.finalStateOf(heldJob.id), "held job")
+        assertEquals("done", simulation.invariants.finalStateOf(laterJob.id), "later job")
+    }
+
+    /** Holds each direct command of the next 3 s for 5 to 12 s, longer than its sender waits. */
+    private fun holdDirectCommands(simulation: ClusterSimulation) {
+        val workers = simulation.cloud.workers().map { it.id }
+        for (worker in workers) {
+            simulation.commandDelays[worker] = simulation.clock.randomBetween(5.seconds, 12.seconds)
+        }
+        simulation.clock.after(3.seconds) { workers.forEach(simulation.commandDelays::remove) }
+    }
+
+    private companion object {
+        val FAULT_START = 60.seconds
+    }
 }
