A task stays on the stored page on which it was read, whatever the settings say

Cause: the number of tasks on a page follows state.value_kb. A leader with other settings read all tasks of the old pages, but wrote a page with only those that belong there by its own number, so the records of the others were lost.

Change: a stored page names its tasks, so it is readable without knowing the layout. A task that was read stays on its page; only tasks that the store does not know go where the settings say. Nothing is carried over and no additional write is needed. Size estimates count what is on a page.

--- a/src/main/kotlin/wardmux/leader/StoredStateLoader.kt
+++ b/src/main/kotlin/wardmux/leader/StoredStateLoader.kt
@@ -67,7 +67,8 @@
         }
         for (item in state.cancelledJobs) addCancelledJob(item)
         cancellations.recordStoreRead(asOf = sentAt)
-        for (item in state.pages) addPage(item)
+        // The newest first: see TaskPageCodec.restore.
+        for (item in state.pages.sortedByDescending { it.version.value }) addPage(item)
         for (item in state.decommissionedMachines) {
             markDecommissioned(
                 MachineId(item.key.removePrefix(PlacementStore.DECOMMISSIONED_PREFIX))
@@ -78,11 +79,12 @@
         components.status.markLoaded()
         log.info(
             "loaded the stored state with fencing token {}: {} jobs ({} of them cancelled) with " +
-                "{} placements; the load began {} s ago",
+                "{} placements, {} tasks on pages of another size; the load began {} s ago",
             components.role.token,
             cluster.jobs.size,
             cluster.jobs.values.count { it.isCancelled },
             cluster.jobs.values.sumOf { it.placements.size },
+            cluster.jobs.values.sumOf { it.pages.displacedCount },
             (context.now - sentAt).inSeconds,
         )
     }
--- a/src/main/kotlin/wardmux/model/Job.kt
+++ b/src/main/kotlin/wardmux/model/Job.kt
@@ -257,26 +257,27 @@
 
     /** Returns the placements of the tasks on [page]. */
     fun placementsOn(page: Int): List<Placement> {
-        val tasksPerPage = pages.tasksPerPage
-        val first = page * tasksPerPage
-        return if (placements.size < tasksPerPage) {
+        return if (placements.size < pages.largestPageSize) {
             placements.values.filter { pages.pageOf(it.task.index) == page }
         } else {
-            (first until first + tasksPerPage).mapNotNull { placements.get(it) }
+            pages.tasksOn(page).mapNotNull { placements.get(it) }
         }
     }
 
     /** Returns the ranges of consecutive done tasks on [page], in ascending order. */
     fun doneRunsOn(page: Int): List<IntRange> {
-        val from = page * pages.tasksPerPage
-        val to = pages.tasksOn(page).last + 1
         val runs = ArrayList<IntRange>()
-        var start = doneTasks.nextSetBit(from)
-        while (start in from until to) {
-            val end = minOf(doneTasks.nextClearBit(start), to)
-            runs.add(start until end)
-            start = doneTasks.nextSetBit(end)
+        var run = IntRange.EMPTY
+        for (task in pages.tasksOn(page)) {
+            if (!doneTasks.get(task)) continue
+            if (run.isEmpty()) run = task..task
+            else if (run.last == task - 1) run = run.first..task
+            else {
+                runs.add(run)
+                run = task..task
+            }
         }
+        if (!run.isEmpty()) runs.add(run)
         return runs
     }
 
@@ -286,10 +287,10 @@
     /** Returns true if [task] was attempted, is not done and has no placement now. */
     fun isInterrupted(task: Int) = needsPlacement(task) && lastAttempts.get(task) > 0
 
-    /** Restores from the store that the tasks from [first] to [last], inclusive, are done. */
-    fun restoreDone(first: Int, last: Int) {
-        doneTasks.set(first, last + 1)
-        pages.restoreDone(first, last)
+    /** Restores from the store that [task] is done. */
+    fun restoreDone(task: Int) {
+        doneTasks.set(task)
+        pages.restoreDone(task)
     }
 
     /**
--- a/src/main/kotlin/wardmux/model/TaskPages.kt
+++ b/src/main/kotlin/wardmux/model/TaskPages.kt
@@ -8,12 +8,26 @@
 /**
  * The division of a job's tasks into pages. Each page is stored under its own key. This class also
  * tracks which pages differ from their stored form.
+ *
+ * The number of tasks on a page follows the settings, so that pages may have been written with
+ * another number. A stored page names its tasks, and each of them stays on the page on which it was
+ * read. A page is therefore always written with all tasks that the store has on it.
  */
 class TaskPages(
-    /** The number of tasks on each page; the last page may have fewer. */
+    /**
+     * The number of tasks on each page, but for those that were read on another page; the last page
+     * may have fewer.
+     */
     val tasksPerPage: Int,
     private val taskCount: Int,
 ) {
+    private val displaced = DisplacedTasks()
+
+    /** The pages and their largest size, or null if they have to be determined anew. */
+    private var pagesWithDisplaced: PageSummary? = null
+
+    /** The tasks that were read from the store. */
+    private val readTasks = BitSet()
     private val keyVersions = Int2LongOpenHashMap()
     private val dirtyPageNumbers = IntOpenHashSet()
     private val recordedDone = BitSet()
@@ -28,26 +42,61 @@
     var dirtySince: Micros? = null
         private set
 
-    /** The numbers of all pages. */
-    val all: IntRange
-        get() = 0..(taskCount - 1) / tasksPerPage
+    /** The numbers of all pages that have tasks, in ascending order. */
+    val all: Iterable<Int>
+        get() {
+            if (displaced.isEmpty) return 0..pageByNumber(taskCount - 1)
+            return summary().pages
+        }
+
+    /** The largest number of tasks on a page. */
+    val largestPageSize: Int
+        get() = if (displaced.isEmpty) minOf(tasksPerPage, taskCount) else summary().largestSize
+
+    /** The number of tasks that are on another page than their number and the settings say. */
+    val displacedCount: Int
+        get() = displaced.count
 
     /** True if the store holds no page of the job. */
     val hasNoStoredPages: Boolean
         get() = keyVersions.isEmpty()
 
     /** The number of the page that contains [task]. */
-    fun pageOf(task: Int): Int = task / tasksPerPage
+    fun pageOf(task: Int): Int = displaced.pageOf(task) ?: pageByNumber(task)
+
+    private fun pageByNumber(task: Int) = task / tasksPerPage
+
+    /** The numbers of the tasks on [page], in ascending order. */
+    fun tasksOn(page: Int): Iterable<Int> {
+        val regular = regularTasksOn(page)
+        if (displaced.isEmpty) return regular
+        return (regular.filter { displaced.pageOf(it) == null } + displaced.tasksOn(page)).sorted()
+    }
+
+    private fun regularTasksOn(page: Int): IntRange {
+        val first = page.toLong() * tasksPerPage
+        if (first >= taskCount) return IntRange.EMPTY
+        return first.toInt() until minOf(first + tasksPerPage, taskCount.toLong()).toInt()
+    }
+
+    private class PageSummary(val pages: List<Int>, val largestSize: Int)
+
+    private fun summary() = pagesWithDisplaced ?: summarize().also { pagesWithDisplaced = it }
 
-    /** The numbers of the tasks on [page]. */
-    fun tasksOn(page: Int): IntRange {
-        val first = page * tasksPerPage
-        return first until minOf(first + tasksPerPage, taskCount)
+    private fun summarize(): PageSummary {
+        val numbers = (0..pageByNumber(taskCount - 1)).toSet() + displaced.pages
+        val sizes = numbers.associateWith(::taskCountOn).filterValues { it > 0 }
+        return PageSummary(sizes.keys.sorted(), sizes.values.max())
     }
 
-    /** The number of the last task on the page that contains [task]. */
-    fun lastTaskOnPageOf(task: Int): Int =
-        minOf((task / tasksPerPage + 1) * tasksPerPage, taskCount) - 1
+    private fun taskCountOn(page: Int): Int =
+        regularTasksOn(page).count { displaced.pageOf(it) == null } + displaced.tasksOn(page).size
+
+    /**
+     * The number of the last task on the page that contains [task], unless it was read on another
+     * page.
+     */
+    fun lastTaskOnPageOf(task: Int): Int = regularTasksOn(pageByNumber(task)).last
 
     /** The numbers of the pages that differ from their stored form, in ascending order. */
     fun dirtyPages(): IntArray =
@@ -83,7 +132,7 @@
     /** Records that [page] was written with [version] and lists the tasks in [done] as done. */
     fun onWritten(page: Int, version: KeyVersion, done: BitSet) {
         keyVersions.put(page, version.value)
-        recordedDone.clear(page * tasksPerPage, (page + 1) * tasksPerPage)
+        for (task in tasksOn(page)) recordedDone.clear(task)
         recordedDone.or(done)
     }
 
@@ -98,7 +147,21 @@
         keyVersions.put(page, version.value)
     }
 
-    internal fun restoreDone(first: Int, last: Int) = recordedDone.set(first, last + 1)
+    /**
+     * Assigns [task], which was read on [page], to that page. Returns false if another page that
+     * names it was read before. Pages are read in descending order of their versions, so that the
+     * newest record of a task counts.
+     */
+    fun assign(task: Int, page: Int): Boolean {
+        if (readTasks.get(task)) return pageOf(task) == page
+        readTasks.set(task)
+        if (pageByNumber(task) == page) return true
+        displaced.add(task, page)
+        pagesWithDisplaced = null
+        return true
+    }
+
+    internal fun restoreDone(task: Int) = recordedDone.set(task)
 
     internal fun addUncommitted(task: Int) {
         uncommittedCounts.addTo(pageOf(task), 1)
--- a/src/main/kotlin/wardmux/records/TaskPageCodec.kt
+++ b/src/main/kotlin/wardmux/records/TaskPageCodec.kt
@@ -101,6 +101,10 @@
      * Restores [page] of [job] from [stored], which was read with the key version [version], and
      * returns its placements. If [stored] is null or is not a valid page of this job, an error is
      * logged and the list is empty.
+     *
+     * The pages of a job have to be restored in descending order of their versions. A task may be
+     * on several pages if controllers with different settings wrote them, and its newest record is
+     * the one that counts.
      */
     fun restore(
         job: Job,
@@ -114,10 +118,17 @@
             logger<TaskPageCodec>().error("failed to decode task page {} of job {}", page, job.id)
             return emptyList()
         }
-        for (i in stored.done.indices step 2) job.restoreDone(stored.done[i], stored.done[i + 1])
+        for (i in stored.done.indices step 2) {
+            for (task in stored.done[i]..stored.done[i + 1]) {
+                if (job.pages.assign(task, page)) job.restoreDone(task)
+            }
+        }
         for (i in stored.tried.indices step 2) {
-            job.restoreInterrupted(stored.tried[i], stored.tried[i + 1])
+            val task = stored.tried[i]
+            if (job.pages.assign(task, page)) job.restoreInterrupted(task, stored.tried[i + 1])
         }
-        return placements.onEach { job.restore(it) }
+        return placements
+            .filter { job.pages.assign(it.task.index, page) }
+            .onEach { job.restore(it) }
     }
 }
--- a/src/main/kotlin/wardmux/scheduling/PageSizeEstimate.kt
+++ b/src/main/kotlin/wardmux/scheduling/PageSizeEstimate.kt
@@ -1,5 +1,6 @@
 package wardmux.scheduling
 
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap
 import wardmux.model.Charge
 import wardmux.model.Job
 import wardmux.model.Machine
@@ -165,10 +166,9 @@
 
         /** True if the pages of [job] have so few tasks that they can never exceed [maxBytes]. */
         fun alwaysFits(job: Job, maxBytes: Int): Boolean {
-            val size = job.pages.tasksPerPage
-            return minOf(size, job.spec.tasks).toLong() * TYPICAL_MAX_PLACEMENT_BYTES +
-                PAGE_FRAME_BYTES <= maxBytes ||
-                size.toLong() * TaskPageCodec.BYTES_PER_PLACEMENT <= maxBytes
+            val size = maxOf(job.pages.tasksPerPage, job.pages.largestPageSize).toLong()
+            return job.pages.largestPageSize.toLong() * TYPICAL_MAX_PLACEMENT_BYTES +
+                PAGE_FRAME_BYTES <= maxBytes || size * TaskPageCodec.BYTES_PER_PLACEMENT <= maxBytes
         }
 
         /**
@@ -179,8 +179,7 @@
         fun requiresDensePacking(job: Job, maxBytes: Int) =
             job.sharesCharge &&
                 !alwaysFits(job, maxBytes) &&
-                minOf(job.pages.tasksPerPage, job.spec.tasks) * MAX_SHARED_CHARGE_BYTES +
-                    PAGE_FRAME_BYTES > maxBytes
+                job.pages.largestPageSize * MAX_SHARED_CHARGE_BYTES + PAGE_FRAME_BYTES > maxBytes
 
         /**
          * True if a page could hold a whole attempt of [job] with [tasksPerMachine] tasks on each
@@ -188,7 +187,7 @@
          */
         fun mayFitAllTasks(job: Job, tasksPerMachine: Int, maxBytes: Int): Boolean {
             if (tasksPerMachine <= 0) return false
-            val tasks = minOf(job.pages.tasksPerPage, job.spec.tasks)
+            val tasks = job.pages.largestPageSize
             val machines = (tasks + tasksPerMachine - 1) / tasksPerMachine
             val taskBytes =
                 (0 until tasks).sumOf { PlacementsSize.bytesOf(it.toLong()) + MIN_TASK_BYTES }
@@ -201,12 +200,13 @@
          */
         fun fitsAllTasks(job: Job, allocations: List<GangAllocation>, maxBytes: Int): Boolean {
             var task = 0
-            var size = PlacementsSize(PAGE_FRAME_BYTES)
+            val sizes = Int2ObjectOpenHashMap<PlacementsSize>()
             for (allocation in allocations) {
                 repeat(allocation.tasks) {
-                    if (task > 0 && task % job.pages.tasksPerPage == 0) {
-                        size = PlacementsSize(PAGE_FRAME_BYTES)
-                    }
+                    val size =
+                        sizes.computeIfAbsent(job.pages.pageOf(task)) {
+                            PlacementsSize(PAGE_FRAME_BYTES)
+                        }
                     val machine = allocation.machine
                     size.addMachine(machine.id, machine.incarnation, machine.zone)
                     size.addTask(task++, job.nextGangAttempt)
--- a/src/main/kotlin/wardmux/store/KeyValueStore.kt
+++ b/src/main/kotlin/wardmux/store/KeyValueStore.kt
@@ -44,9 +44,9 @@
         get() = lowestLimits.txnOps * MAX_CONDITIONS_PER_OPERATION
 
     /**
-     * The value size, in bytes, on which the layout of stored task pages is based. It does not
-     * follow announced lower limits, because controllers of the previous version read and write the
-     * same keys.
+     * The value size, in bytes, on which the layout of new task pages is based. It does not follow
+     * announced lower limits, because controllers of the previous version read and write the same
+     * keys, and they expect each task on the page that the settings say.
      */
     val pageLayoutBytes: Int = (limits.valueKb * BYTES_PER_KB).toInt()
 
--- a/src/test/kotlin/wardmux/sim/ClusterSimulation.kt
+++ b/src/test/kotlin/wardmux/sim/ClusterSimulation.kt
@@ -70,6 +70,12 @@
      * applies to controllers that start afterwards.
      */
     var announcedLimitsOf: (member: String) -> AnnouncedStoreLimits? = { announcedLimits }
+
+    /**
+     * The value size of the key-value store, in KiB, in the settings of each controller, by its
+     * name. A change applies to controllers that start afterwards; the store's limit stays.
+     */
+    var valueKbOf: (member: String) -> Double = { VALUE_KB }
     val clock = SimulatedClock(seed)
     val network = Network(clock)
     private val zones = listOf("a", "b", "c")
@@ -82,7 +88,7 @@
             clockErrorMs = 100.0,
             teams = teams,
             workers = WorkerTiming(2.5, 16.0, 36.0, gangWaitS, gangPeerS),
-            state = StoreLimits(rps = 90.0, writeRps = 40.0, valueKb = 8.0, txnOps = txnOps),
+            state = StoreLimits(rps = 90.0, writeRps = 40.0, valueKb = VALUE_KB, txnOps = txnOps),
             cloud = CloudLimits(rps = 8.0, listLagS = 3.0),
             limits = ProcessLimits(fdLimit = fdLimit),
         )
@@ -316,7 +322,13 @@
             peers = (nodes - member).map { PeerConfig(it, address = "10.0.0.1:81") },
             services = ServiceAddresses("10.0.0.1:82", "10.0.0.1:83"),
             deployment =
-                deployment.copy(state = deployment.state.copy(next = announcedLimitsOf(member))),
+                deployment.copy(
+                    state =
+                        deployment.state.copy(
+                            valueKb = valueKbOf(member),
+                            next = announcedLimitsOf(member),
+                        )
+                ),
         )
 
     private fun call(
@@ -479,6 +491,8 @@
         invariants.violations + store.protocolViolations + cloud.protocolViolations
 
     private companion object {
+        const val VALUE_KB = 8.0
+
         /** Matches a start command and captures its task and attempt. */
         val startCommandTask = Regex("""\{"verb":"start","piece":"(job-\d+/\d+)","try":(\d+)""")
 
