Tests: one reader of seed ranges, one limit for cancelled tasks, longer searches

Five test classes each parsed a range of seeds from a system property, and two had the same limit with the same reason. seedsFrom and CANCELLATION_LIMIT serve them all; seeds, ranges and the limit are as they were. PageSizeChangeTest and LateCommandFaultsTest take ranges too, with the present seeds as defaults.

LateCommandFaultsTest, seeds 1 to 150: seed 69 of the late copies failed; its trace shows a task that was completed before the cancellation and fetched its image again, which PROTOCOL describes as harmless ("exits with done as soon as it has its image"), while the test states that no task ends before the cancellation. Its tasks now run long enough for that; the check is the same.

--- a/src/test/kotlin/wardmux/sim/CancellationAcrossLeadersTest.kt
+++ b/src/test/kotlin/wardmux/sim/CancellationAcrossLeadersTest.kt
@@ -200,13 +200,6 @@
         /** Time of the simulation by which all tasks must run for the first time. */
         private val START_DEADLINE = 80.seconds
 
-        /**
-         * A cancelled task must end within 36 s, the cancellation time of the simulated cluster.
-         * The other 200 ms are needed because workers check their leases, and this test checks the
-         * tasks, ten times a second.
-         */
-        private val CANCELLATION_LIMIT = 36_200.milliseconds
-
         /** Longest time for which the machine reaches one forwarder. */
         private val MAX_CONNECTION_TIME = 3.seconds
 
@@ -219,10 +212,6 @@
         @JvmStatic fun seeds(): List<Long> = (1L..5L).toList()
 
         /** Another range can be set: `-DargLine="-Dwardmux.churn=1-100"`. */
-        @JvmStatic
-        fun scenarioSeeds(): List<Long> {
-            val (first, last) = (System.getProperty("wardmux.churn") ?: "1-300").split('-')
-            return (first.toLong()..last.toLong()).toList()
-        }
+        @JvmStatic fun scenarioSeeds(): List<Long> = seedsFrom("wardmux.churn", "1-300")
     }
 }
--- a/src/test/kotlin/wardmux/sim/GangSimulationTest.kt
+++ b/src/test/kotlin/wardmux/sim/GangSimulationTest.kt
@@ -194,15 +194,9 @@
         private val FAULTS_END = 285.seconds
 
         /** A longer search takes other seeds: `-DargLine="-Dwardmux.gangs=100-500"`. */
-        @JvmStatic fun seeds(): List<Long> = seedRange("wardmux.gangs", "1-16")
+        @JvmStatic fun seeds(): List<Long> = seedsFrom("wardmux.gangs", "1-16")
 
         /** A longer search takes other seeds: `-DargLine="-Dwardmux.gangsQuiet=100-500"`. */
-        @JvmStatic fun faultFreeSeeds(): List<Long> = seedRange("wardmux.gangsQuiet", "1-4")
-
-        /** The seeds of the range FIRST-LAST in the system property, or in [defaultRange]. */
-        private fun seedRange(property: String, defaultRange: String): List<Long> {
-            val range = (System.getProperty(property) ?: defaultRange).split('-')
-            return (range.first().toLong()..range.last().toLong()).toList()
-        }
+        @JvmStatic fun faultFreeSeeds(): List<Long> = seedsFrom("wardmux.gangsQuiet", "1-4")
     }
 }
--- a/src/test/kotlin/wardmux/sim/JobFixtures.kt
+++ b/src/test/kotlin/wardmux/sim/JobFixtures.kt
@@ -3,6 +3,14 @@
 import wardmux.model.JobKind
 import wardmux.model.JobSpec
 import wardmux.model.PriorityClass
+import wardmux.model.milliseconds
+
+/**
+ * A cancelled task must end within 36 s, the cancellation time of the simulated cluster. The other
+ * 200 ms are needed because workers check their leases, and the tests check the tasks, ten times a
+ * second.
+ */
+val CANCELLATION_LIMIT = 36_200.milliseconds
 
 /** A copy of this job without placement constraints: its tasks may run on any machine. */
 fun JobSpec.unconstrained(): JobSpec =
--- a/src/test/kotlin/wardmux/sim/LateCommandFaultsTest.kt
+++ b/src/test/kotlin/wardmux/sim/LateCommandFaultsTest.kt
@@ -3,7 +3,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import org.junit.jupiter.params.ParameterizedTest
-import org.junit.jupiter.params.provider.ValueSource
+import org.junit.jupiter.params.provider.MethodSource
 import wardmux.model.JobKind
 import wardmux.model.seconds
 
@@ -50,7 +50,7 @@
      * its start.
      */
     @ParameterizedTest
-    @ValueSource(longs = [1, 2, 3, 4])
+    @MethodSource("copySeeds")
     fun `late copies of starts run no task of a cancelled job with many tasks on a machine`(
         seed: Long
     ) {
@@ -63,7 +63,7 @@
         // No task ends before the cancellation: a completed task does not run again.
         val job =
             simulation
-                .unconstrainedJob(JobKind.ARRAY, "team-0", 170, cpus = 0.08, estimateS = 1e6)
+                .unconstrainedJob(JobKind.ARRAY, "team-0", 170, cpus = 0.08, estimateS = 1e9)
                 .copy(memoryGb = 0.1)
         simulation.submit(job)
         // Replicas on each machine keep the machines in use.
@@ -92,7 +92,7 @@
      * Such machines got no further tasks for ever, although they listed all tasks of the starts.
      */
     @ParameterizedTest
-    @ValueSource(longs = [1, 2, 3, 4, 5, 6])
+    @MethodSource("heldSeeds")
     fun `machines whose start commands were held up get further tasks`(seed: Long) {
         val cluster = ThreeMachines(simulationOf(seed, capacityPerZone = 1))
         val simulation = cluster.simulation
@@ -123,7 +123,12 @@
         simulation.clock.after(3.seconds) { workers.forEach(simulation.commandDelays::remove) }
     }
 
-    private companion object {
-        val FAULT_START = 60.seconds
+    companion object {
+        private val FAULT_START = 60.seconds
+
+        /** Another range can be set: `-DargLine="-Dwardmux.lateCommands=100-500"`. */
+        @JvmStatic fun copySeeds(): List<Long> = seedsFrom("wardmux.lateCommands", "1-4")
+
+        @JvmStatic fun heldSeeds(): List<Long> = seedsFrom("wardmux.lateCommands", "1-6")
     }
 }
--- a/src/test/kotlin/wardmux/sim/OutageFaultsTest.kt
+++ b/src/test/kotlin/wardmux/sim/OutageFaultsTest.kt
@@ -468,19 +468,8 @@
         /** Time without faults after which all jobs must run again. */
         private val RECOVERY_TIME = 60.seconds
 
-        /**
-         * A cancelled task must end within 36 s, the cancellation time of the simulated cluster.
-         * The other 200 ms are needed because workers check their leases, and this test checks the
-         * tasks, ten times a second.
-         */
-        private val CANCELLATION_LIMIT = 36_200.milliseconds
-        private val SEEDS = seedRange()
-
         /** Another range can be set: `-DargLine="-Dwardmux.meetings=1-100"`. */
-        private fun seedRange(): LongRange {
-            val (first, last) = (System.getProperty("wardmux.meetings") ?: "1-3").split('-')
-            return first.toLong()..last.toLong()
-        }
+        private val SEEDS = seedsFrom("wardmux.meetings", "1-3")
 
         @JvmStatic
         fun variants(): List<Variant> =
--- a/src/test/kotlin/wardmux/sim/PageSizeChangeTest.kt
+++ b/src/test/kotlin/wardmux/sim/PageSizeChangeTest.kt
@@ -2,7 +2,7 @@
 
 import kotlin.test.assertEquals
 import org.junit.jupiter.params.ParameterizedTest
-import org.junit.jupiter.params.provider.ValueSource
+import org.junit.jupiter.params.provider.MethodSource
 import wardmux.config.AnnouncedStoreLimits
 import wardmux.model.JobKind
 import wardmux.model.JobSpec
@@ -77,7 +77,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(longs = [1, 2, 3, 4, 5, 6, 7, 8])
+    @MethodSource("restartSeeds")
     fun `no task runs twice when controllers restart with other value sizes`(seed: Long) {
         val scenario = Scenario(seed)
         val simulation = scenario.simulation
@@ -95,7 +95,7 @@
      * after the other with settings that name them, and later the leader crashes.
      */
     @ParameterizedTest
-    @ValueSource(longs = [1, 2, 3, 4])
+    @MethodSource("loweredLimitSeeds")
     fun `no task runs twice after announced limits are in force and in the settings`(seed: Long) {
         val scenario = Scenario(seed, LOWER_LIMITS)
         val simulation = scenario.simulation
@@ -115,9 +115,14 @@
         scenario.checkNoViolationsAndJobsDone()
     }
 
-    private companion object {
+    companion object {
         /** The last is the limit of the key-value store. */
-        val VALUE_SIZES_KB = listOf(1.0, 2.0, 3.0, 8.0)
-        val LOWER_LIMITS = AnnouncedStoreLimits(valueKb = 1.0)
+        private val VALUE_SIZES_KB = listOf(1.0, 2.0, 3.0, 8.0)
+        private val LOWER_LIMITS = AnnouncedStoreLimits(valueKb = 1.0)
+
+        /** Another range can be set: `-DargLine="-Dwardmux.pageSizes=100-500"`. */
+        @JvmStatic fun restartSeeds(): List<Long> = seedsFrom("wardmux.pageSizes", "1-8")
+
+        @JvmStatic fun loweredLimitSeeds(): List<Long> = seedsFrom("wardmux.pageSizes", "1-4")
     }
 }
--- a/src/test/kotlin/wardmux/sim/RandomSimulationTest.kt
+++ b/src/test/kotlin/wardmux/sim/RandomSimulationTest.kt
@@ -198,11 +198,6 @@
         /** Another range can be set: `-Dwardmux.hunted=100-500`. */
         @JvmStatic fun cancellationFaultSeeds(): List<Long> = seedsFrom("wardmux.hunted", "1-24")
 
-        private fun seedsFrom(property: String, defaultRange: String): List<Long> {
-            val range = (System.getProperty(property) ?: defaultRange).split('-')
-            return (range.first().toLong()..range.last().toLong()).toList()
-        }
-
         /**
          * Seeds that once violated an invariant. With 113, 184 and 321 a job that must run in one
          * zone ran in two, because a later leader did not know where its tasks were. With 114 and
--- a/src/test/kotlin/wardmux/sim/UpgradeTest.kt
+++ b/src/test/kotlin/wardmux/sim/UpgradeTest.kt
@@ -330,10 +330,6 @@
         private val SCENARIO_END = 330.seconds
 
         /** Another range can be set: `-DargLine="-Dwardmux.upgrade=100-500"`. */
-        @JvmStatic
-        fun seeds(): List<Long> {
-            val range = (System.getProperty("wardmux.upgrade") ?: "1-12").split('-')
-            return (range.first().toLong()..range.last().toLong()).toList()
-        }
+        @JvmStatic fun seeds(): List<Long> = seedsFrom("wardmux.upgrade", "1-12")
     }
 }
