--- a/src/test/kotlin/wardmux/sim/RandomSimulationTest.kt
+++ b/src/test/kotlin/wardmux/sim/RandomSimulationTest.kt
@@ -120,6 +120,18 @@
         assertTrue(scenario.simulation.invariants.starts > 0, "no task was started")
     }
 
+    /**
+     * Found by a long search. A machine hangs, and the leader cannot load the stored state until
+     * after the end of the machine's lease. It then counts that end as the proof that the tasks are
+     * gone, and starts them elsewhere before the machine is deleted.
+     */
+    @Test
+    fun `tasks of a machine that hangs beyond its lease during a load run once`() {
+        val scenario = Scenario(seed = 1064, withNetworkFaults = true)
+        scenario.run(withFaults = true)
+        assertEquals(emptyList(), scenario.simulation.violations(), "violated invariants")
+    }
+
     @ParameterizedTest
     @MethodSource("forwardingSeeds")
     fun `invariants hold with network faults when all controllers take heartbeats`(seed: Long) {
