--- a/review/stand-ins/Case.java
+++ b/review/stand-ins/Case.java
@@ -85,7 +85,7 @@
             if (j != i)
                 out.append(
                     "[[siblings]]\nmember = \"" + members.get(j) + "\"\nsite = \""
-                        + site.controllerZones.get(j) + "\"\naddr = \"" + peers.get(j)
+                        + site.controllerZones.get(j) + "\"\naddr = \"" + peerAddress(i, j)
                         + "\"\n\n");
         out.append("[services]\ncloud = \"" + cloud.address() + "\"\nstate = \"");
         out.append(stateAddress(i) + "\"\n\n[facts]\nnodes = 3\nzones = [");
@@ -111,6 +111,16 @@
         return state.address();
     }
 
+    /** The address at which a controller finds another one. */
+    String peerAddress(int from, int to) {
+        return peers.get(to);
+    }
+
+    /** The file with the log of a controller. */
+    Path log(int controller) {
+        return directory.resolve(members.get(controller) + ".log");
+    }
+
     /** Starts the process of a controller with the command of the deploy file. */
     void start(int i) throws IOException {
         String run =
@@ -125,7 +135,7 @@
         command.add(file.toString());
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("LOG_LEVEL", "info");
-        File log = directory.resolve(members.get(i) + ".log").toFile();
+        File log = log(i).toFile();
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log));
         builder.redirectError(ProcessBuilder.Redirect.appendTo(log));
         processes[i] = builder.start();
