--- a/review/stand-ins/Case.java
+++ b/review/stand-ins/Case.java
@@ -9,7 +9,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -17,23 +16,17 @@
 import java.util.stream.Stream;
 
 /**
- * A small deployment like szalas-booking: three controllers as processes of the deploy file, the
- * state service, the cloud, eight machines that are up at the start, and users. A case extends it.
+ * A small deployment: three controllers as processes of the deploy file, the state service, the
+ * cloud, machines and users. A case extends it.
  */
 abstract class Case {
     static final int DONE = 0;
     static final int BROKEN = 1;
     static final int COULD_NOT_RUN = 2;
 
-    final double reportS = 2.5;
-    final double leaseS = 16.0;
-    final double cancelS = 36.0;
-    final List<String> zones = List.of("pest-east", "pest-west", "gyor-north");
+    final Site site;
     final List<String> members = List.of("wardbox-0", "wardbox-1", "wardbox-2");
-    final List<String> teams =
-        java.util.stream.IntStream.range(0, 10)
-            .mapToObj(i -> String.format("routeplan-%02d", i))
-            .collect(Collectors.toList());
+    final List<String> teams;
     final List<String> apis = new ArrayList<>();
     private final List<String> peers = new ArrayList<>();
     final Process[] processes = new Process[members.size()];
@@ -46,18 +39,17 @@
     private final Map<String, Double> runTimes = new ConcurrentHashMap<>();
     private final Path directory = Files.createTempDirectory("wardmux-review");
 
-    Case(Path folder) throws IOException {
+    Case(Site site, Path folder) throws IOException {
+        this.site = site;
+        teams = site.teams;
         record = new Record(folder.resolve("record.txt"));
-        Map<String, Double> limits = new HashMap<>();
-        for (String team : teams) limits.put(team, 96.0);
-        rules = new Rules(record, cancelS, limits);
+        rules = new Rules(record, site.cancelS, site.limits());
         for (int i = 0; i < members.size(); i++) {
             apis.add(freeAddress());
             peers.add(freeAddress());
         }
-        state = new StateService(150, 60);
-        cloud =
-            new Cloud(zones, 7, 6.0, record, box -> new Worker(this, box.id, box.ward, box.loaners));
+        state = new StateService(site.rps, site.writeRps);
+        cloud = new Cloud(site, record, box -> new Worker(this, box));
         record.log("TROUBLE is %s", trouble ? "on" : "0");
     }
 
@@ -78,33 +70,39 @@
         }
     }
 
-    /** Makes eight ordinary machines that are up: three, three and two in the zones. */
-    void startMachines() throws IOException {
-        for (int i = 0; i < 8; i++) workers.add(cloud.rent(zones.get(i % 3), false));
+    /** Makes ordinary machines that are up from the start, in the zones in turn. */
+    void startMachines(String type, int count) throws IOException {
+        for (int i = 0; i < count; i++)
+            workers.add(cloud.rent(type, site.zones.get(i % site.zones.size()), false));
     }
 
     private String config(int i) {
         StringBuilder out = new StringBuilder();
-        out.append("member = \"" + members.get(i) + "\"\nsite = \"" + zones.get(i) + "\"\n");
+        out.append("member = \"" + members.get(i) + "\"\n");
+        out.append("site = \"" + site.controllerZones.get(i) + "\"\n");
         out.append("api_addr = \"" + apis.get(i) + "\"\npeer_bind = \"" + peers.get(i) + "\"\n\n");
         for (int j = 0; j < members.size(); j++)
             if (j != i)
                 out.append(
-                    "[[siblings]]\nmember = \"" + members.get(j) + "\"\nsite = \"" + zones.get(j)
-                        + "\"\naddr = \"" + peers.get(j) + "\"\n\n");
+                    "[[siblings]]\nmember = \"" + members.get(j) + "\"\nsite = \""
+                        + site.controllerZones.get(j) + "\"\naddr = \"" + peers.get(j)
+                        + "\"\n\n");
         out.append("[services]\ncloud = \"" + cloud.address() + "\"\nstate = \"");
         out.append(stateAddress(i) + "\"\n\n[facts]\nnodes = 3\nzones = [");
-        out.append(zones.stream().map(z -> "\"" + z + "\"").collect(Collectors.joining(", ")));
-        out.append("]\nclock_error_ms = 250.0\n\n");
+        out.append(site.zones.stream().map(z -> "\"" + z + "\"").collect(Collectors.joining(", ")));
+        out.append("]\nclock_error_ms = " + site.clockErrorMs + "\n\n");
         for (String team : teams)
             out.append(
-                "[[facts.teams]]\nname = \"" + team
-                    + "\"\ncpus = 40.0\ncpus_max = 96.0\ngpus = 0.0\ngpus_max = 0.0\n\n");
-        out.append("[facts.workers]\nreport_s = 2.5\nlease_s = 16.0\ngang_wait_s = 35.0\n");
-        out.append("gang_peer_s = 6.0\ncancel_s = 36.0\n\n[facts.state]\nrps = 150.0\n");
-        out.append("write_rps = 60.0\nvalue_kb = 16.0\ntxn_ops = 48\n\n[facts.cloud]\nrps = 6.0\n");
-        out.append("list_lag_s = 6.0\n\n[facts.limits]\ncpu = 0.255\nram_mb = 268.0\n");
-        out.append("fd_limit = 1800\n");
+                "[[facts.teams]]\nname = \"" + team + "\"\ncpus = " + site.cpus
+                    + "\ncpus_max = " + site.cpusMax + "\ngpus = 0.0\ngpus_max = 0.0\n\n");
+        out.append(site.objectives);
+        out.append("[facts.workers]\nreport_s = " + site.reportS + "\nlease_s = " + site.leaseS);
+        out.append("\ngang_wait_s = " + site.gangWaitS + "\ngang_peer_s = " + site.gangPeerS);
+        out.append("\ncancel_s = " + site.cancelS + "\n\n[facts.state]\nrps = " + site.rps);
+        out.append("\nwrite_rps = " + site.writeRps + "\nvalue_kb = " + site.valueKb);
+        out.append("\ntxn_ops = " + site.txnOps + "\n\n[facts.cloud]\nrps = " + site.cloudRps);
+        out.append("\nlist_lag_s = " + site.listLagS + "\n\n[facts.limits]\ncpu = " + site.cpu);
+        out.append("\nram_mb = 268.0\nfd_limit = " + site.fdLimit + "\n");
         return out.toString();
     }
 
@@ -163,25 +161,38 @@
         return true;
     }
 
-    /** A batch job like those of slotfill: 8 CPUs and 14 GB a task, saves every 20 s. */
+    /** A batch job of szalas-booking: 8 CPUs and 14 GB a task, saves every 20 s. */
     Map<String, Object> slotfill(String id, String team, int pieces, double runS) {
+        Map<String, Object> spec = batch(id, "slotfill", team, "normal", pieces, 8, 14, 0.5, runS);
+        spec.put("savepoint_s", 20.0);
+        spec.put("dump_s", 2.0);
+        spec.put("due_s", 2 * runS + 80);
+        return spec;
+    }
+
+    /** A batch job of cegkapu-register: 32 CPUs and 72 GB a task, saves every 15 s. */
+    Map<String, Object> dailycheck(String id, String team, int pieces, double runS) {
         Map<String, Object> spec =
-            Json.map(
-                "name_id", id, "jobclass", "slotfill", "owner", team, "shape", "batch",
-                "urgency", "normal", "pieces", pieces, "cores", 8.0, "gpus", 0.0, "mem_gb", 14.0,
-                "bundle", "img-00", "pull_gb", 0.5, "boxkinds", null, "ward", null,
-                "same_place", false, "scatter", false, "loaners", true, "guess_s", runS,
-                "savepoint_s", 20.0, "dump_s", 2.0, "due_s", 2 * runS + 80);
-        runTimes.put(id, runS);
+            batch(id, "dailycheck", team, "normal", pieces, 32, 72, 4.0, runS);
+        spec.put("savepoint_s", 15.0);
+        spec.put("dump_s", 4.0);
         return spec;
     }
 
-    double runTime(String job) {
-        return runTimes.get(job);
+    private Map<String, Object> batch(
+        String id, String jobclass, String team, String urgency, int pieces, double cores,
+        double memGb, double pullGb, double runS) {
+        runTimes.put(id, runS);
+        return Json.map(
+            "name_id", id, "jobclass", jobclass, "owner", team, "shape", "batch",
+            "urgency", urgency, "pieces", pieces, "cores", cores, "gpus", 0.0, "mem_gb", memGb,
+            "bundle", "img-00", "pull_gb", pullGb, "boxkinds", null, "ward", null,
+            "same_place", false, "scatter", false, "loaners", true, "guess_s", runS,
+            "savepoint_s", 0.0, "dump_s", 0.0, "due_s", null);
     }
 
-    void setRunTime(String job, double runS) {
-        runTimes.put(job, runS);
+    double runTime(String job) {
+        return runTimes.get(job);
     }
 
     /** Submits a job as a user does, and retries for up to 60 s. Returns the last status. */
@@ -221,24 +232,24 @@
     }
 
     /** Runs the case, ends what it started, and ends this process with its exit code. */
-    static void main(Case site) {
-        Runtime.getRuntime().addShutdownHook(new Thread(site::end));
+    static void main(Case case_) {
+        Runtime.getRuntime().addShutdownHook(new Thread(case_::end));
         Thread watchdog = new Thread(() -> {
-            sleep(112_000);
-            site.record.log("the case takes too long");
+            sleep(115_000);
+            case_.record.log("the case takes too long");
             System.exit(COULD_NOT_RUN);
         });
         watchdog.setDaemon(true);
         watchdog.start();
         int code = COULD_NOT_RUN;
         try {
-            code = site.run();
-            site.rules.check();
-            if (!site.rules.broken.isEmpty()) code = BROKEN;
+            code = case_.run();
+            case_.rules.check();
+            if (!case_.rules.broken.isEmpty()) code = BROKEN;
         } catch (Exception e) {
-            site.record.log("failed: %s", e);
+            case_.record.log("failed: %s", e);
         }
-        site.record.log("exit code %d, rules broken: %s", code, site.rules.broken);
+        case_.record.log("exit code %d, rules broken: %s", code, case_.rules.broken);
         System.exit(code);
     }
 }
--- a/review/stand-ins/Cloud.java
+++ b/review/stand-ins/Cloud.java
@@ -8,10 +8,11 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** The cloud of PROTOCOL-wardmux.md with one machine type, rackmid of kit/sites/szalas-booking. */
+/** The cloud of PROTOCOL-wardmux.md with the machine types of a site. */
 final class Cloud implements Closeable {
     static final class Box {
         String id;
+        Site.Type type;
         String ward;
         boolean loaners;
         String status;
@@ -21,7 +22,7 @@
         Map<String, Object> listed() {
             return Json.map(
                 "name_id", id, "endpoint", worker == null ? "" : worker.endpoint(),
-                "boxkind", "rackmid", "ward", ward, "loaners", loaners, "status", status,
+                "boxkind", type.label, "ward", ward, "loaners", loaners, "status", status,
                 "held_s", (System.nanoTime() - rentedAt) / 1e9);
         }
     }
@@ -33,20 +34,16 @@
     private final TreeMap<String, Box> boxes = new TreeMap<>();
     private final List<Map.Entry<Long, List<Object>>> lists = new ArrayList<>();
     private final Map<String, List<Object>> hires = new LinkedHashMap<>();
-    private final List<String> zones;
+    private final Site site;
     private final Record record;
-    private final double lagS;
-    private final int perZone;
     private final Boot boot;
     private boolean outage;
     private int lastBox = 0;
+    private int hireRequests;
     private final Web web;
 
-    Cloud(List<String> zones, int perZone, double lagS, Record record, Boot boot)
-        throws IOException {
-        this.zones = zones;
-        this.perZone = perZone;
-        this.lagS = lagS;
+    Cloud(Site site, Record record, Boot boot) throws IOException {
+        this.site = site;
         this.record = record;
         this.boot = boot;
         web = new Web(this::handle);
@@ -64,15 +61,16 @@
     }
 
     /** A machine that is up from the start. */
-    synchronized Worker rent(String ward, boolean loaners) throws IOException {
-        Box box = newBox(ward, loaners);
+    synchronized Worker rent(String type, String ward, boolean loaners) throws IOException {
+        Box box = newBox(site.type(type), ward, loaners);
         box.status = "running";
         box.worker = boot.start(box);
         return box.worker;
     }
 
-    private Box newBox(String ward, boolean loaners) {
+    private Box newBox(Site.Type type, String ward, boolean loaners) {
         Box box = new Box();
+        box.type = type;
         box.id = String.format("i-%06d", ++lastBox);
         box.ward = ward;
         box.loaners = loaners;
@@ -95,6 +93,26 @@
         t.start();
     }
 
+    /** The number of requests to rent, repeated ones not counted. */
+    synchronized int hireRequests() {
+        return hireRequests;
+    }
+
+    /** The spot machines that are starting. */
+    synchronized List<Box> startingSpotMachines() {
+        List<Box> found = new ArrayList<>();
+        for (Box box : boxes.values())
+            if (box.loaners && box.status.equals("starting")) found.add(box);
+        return found;
+    }
+
+    /** The cloud takes a spot machine with no notice; it is not listed any more. */
+    synchronized void take(Box box) {
+        boxes.remove(box.id);
+        record.log("cloud takes %s, which was %s", box.id, box.status);
+        if (box.worker != null) box.worker.gone("taken");
+    }
+
     private void keepLists() {
         while (true) {
             synchronized (this) {
@@ -108,7 +126,7 @@
     }
 
     private void handle(Web.Request request) throws Exception {
-        Thread.sleep(250);
+        Thread.sleep(site.cloudLatencyMs);
         int status = 200;
         String answer = "{}";
         synchronized (this) {
@@ -116,16 +134,15 @@
                 status = 503;
                 answer = "{\"error\":\"trouble\"}";
             } else if (request.path.startsWith("/machine_types")) {
-                answer =
-                    Json.write(
+                List<Object> kinds = new ArrayList<>();
+                for (Site.Type t : site.types)
+                    kinds.add(
                         Json.map(
-                            "boxkinds",
-                            List.of(
-                                Json.map(
-                                    "label", "rackmid", "cores", 16.0, "gpus", 0.0,
-                                    "mem_gb", 64.0, "local_gb", 50.0, "pull_gb_per_s", 0.1,
-                                    "hourly", 0.95, "spot_price", 0.4, "boot_s", 50.0,
-                                    "wards", zones))));
+                            "label", t.label, "cores", t.cores, "gpus", 0.0, "mem_gb", t.memGb,
+                            "local_gb", t.cacheGb, "pull_gb_per_s", t.fetchGbPerS,
+                            "hourly", t.hourly, "spot_price", t.spotPrice, "boot_s", t.bootS,
+                            "wards", site.zones));
+                answer = Json.write(Json.map("boxkinds", kinds));
             } else if (request.path.equals("/machines/delete")) {
                 for (Object id : (List<?>) Json.object(request.body).get("boxes")) {
                     Box box = boxes.remove((String) id);
@@ -138,7 +155,7 @@
                 status = (int) result[0];
                 answer = (String) result[1];
             } else {
-                long at = System.nanoTime() - (long) (lagS * 1e9);
+                long at = System.nanoTime() - (long) (site.listLagS * 1e9);
                 List<Object> list = List.of();
                 for (Map.Entry<Long, List<Object>> e : lists)
                     if (e.getKey() <= at) list = e.getValue();
@@ -152,30 +169,33 @@
         String hire = (String) body.get("hire");
         List<Object> known = hires.get(hire);
         if (known == null) {
+            hireRequests++;
+            Site.Type type = site.type((String) body.get("boxkind"));
             String ward = (String) body.get("ward");
             boolean loaners = (Boolean) body.get("loaners");
             long used =
                 boxes.values().stream()
-                    .filter(b -> b.ward.equals(ward) && b.loaners == loaners)
+                    .filter(b -> b.type == type && b.ward.equals(ward) && b.loaners == loaners)
                     .count();
-            long count = Math.min((Long) body.get("count"), perZone - used);
+            int limit = loaners ? type.spot : type.ordinary;
+            long count = Math.min((Long) body.get("count"), limit - used);
             if (count <= 0) return new Object[] {503, "{\"error\":\"no capacity\"}"};
             known = new ArrayList<>();
             for (int i = 0; i < count; i++) {
-                Box box = newBox(ward, loaners);
+                Box box = newBox(type, ward, loaners);
                 known.add(box.id);
                 Thread t = new Thread(() -> bootLater(box));
                 t.setDaemon(true);
                 t.start();
             }
             hires.put(hire, known);
-            record.log("cloud rented %s in %s loaners=%s", known, ward, loaners);
+            record.log("cloud rented %s %s in %s loaners=%s", type.label, known, ward, loaners);
         }
         return new Object[] {200, Json.write(Json.map("boxes", known))};
     }
 
     private void bootLater(Box box) {
-        Case.sleep(50_000);
+        Case.sleep((long) (box.type.bootS * 1000));
         synchronized (this) {
             if (!boxes.containsKey(box.id)) return;
             try {
--- a/review/stand-ins/HungMachine.java
+++ b/review/stand-ins/HungMachine.java
@@ -11,7 +11,7 @@
     private static final String JOB = "job-000003";
 
     private HungMachine(Path folder) throws Exception {
-        super(folder);
+        super(Site.szalasBooking(), folder);
     }
 
     public static void main(String[] args) throws Exception {
@@ -20,7 +20,7 @@
 
     @Override
     int run() throws Exception {
-        startMachines();
+        startMachines("rackmid", 8);
         startControllers();
         if (!await("a leader", 30, () -> leader() >= 0)) return COULD_NOT_RUN;
         // Two short jobs bring the image to all machines.
--- a/review/stand-ins/Rules.java
+++ b/review/stand-ins/Rules.java
@@ -34,7 +34,7 @@
         return specs.get(job);
     }
 
-    private void report(String rule, String text) {
+    synchronized void report(String rule, String text) {
         broken.add(rule);
         record.log("BROKEN %s: %s", rule, text);
     }
--- a/review/stand-ins/Worker.java
+++ b/review/stand-ins/Worker.java
@@ -35,7 +35,8 @@
     final String id;
     final String ward;
     final boolean loaners;
-    private final Case site;
+    private final Site.Type type;
+    private final Case deployment;
     private final Web web;
     private final Random random = new Random();
     private final Map<String, Task> tasks = new LinkedHashMap<>();
@@ -56,13 +57,14 @@
     private volatile boolean gone;
     private double steppedAt;
 
-    Worker(Case site, String id, String ward, boolean loaners) throws IOException {
-        this.site = site;
-        this.id = id;
-        this.ward = ward;
-        this.loaners = loaners;
-        node = random.nextInt(site.apis.size());
-        leaseSince = site.record.now();
+    Worker(Case deployment, Cloud.Box box) throws IOException {
+        this.deployment = deployment;
+        id = box.id;
+        ward = box.ward;
+        loaners = box.loaners;
+        type = box.type;
+        node = random.nextInt(deployment.apis.size());
+        leaseSince = deployment.record.now();
         steppedAt = leaseSince;
         web = new Web(this::handle);
         start(this::reportLoop);
@@ -81,13 +83,13 @@
 
     synchronized void hang() {
         hung = true;
-        site.record.log("%s hangs with %s", id, tasks.keySet());
+        deployment.record.log("%s hangs with %s", id, tasks.keySet());
     }
 
     synchronized void resume() {
         hung = false;
-        steppedAt = site.record.now();
-        site.record.log("%s goes on", id);
+        steppedAt = deployment.record.now();
+        deployment.record.log("%s goes on", id);
         notifyAll();
     }
 
@@ -115,7 +117,7 @@
     }
 
     private void leave(Task task, String why) {
-        site.rules.left(task.piece, task.attempt, id, why);
+        deployment.rules.left(task.piece, task.attempt, id, why);
     }
 
     private void end(Task task, String cause) {
@@ -135,11 +137,11 @@
     }
 
     private void step() {
-        double now = site.record.now();
+        double now = deployment.record.now();
         double elapsed = now - steppedAt;
         steppedAt = now;
-        if (now - leaseSince > site.leaseS) {
-            site.record.log("%s: lease is over, session %d begins", id, shift + 1);
+        if (now - leaseSince > deployment.site.leaseS) {
+            deployment.record.log("%s: lease is over, session %d begins", id, shift + 1);
             for (Task task : tasks.values()) leave(task, "killed, lease over");
             tasks.clear();
             shift++;
@@ -148,11 +150,11 @@
         }
         fetch(elapsed);
         for (Task task : new ArrayList<>(tasks.values())) {
-            Map<String, Object> spec = site.rules.spec(task.job());
+            Map<String, Object> spec = deployment.rules.spec(task.job());
             if (task.status.equals("fetching") && images.get(spec.get("bundle")) <= 0) {
-                site.rules.started(task.piece, task.attempt, id);
+                deployment.rules.started(task.piece, task.attempt, id);
                 task.status = "running";
-                task.left = results.contains(task.piece) ? 0 : site.runTime(task.job());
+                task.left = results.contains(task.piece) ? 0 : deployment.runTime(task.job());
                 changed = true;
             }
             if (task.status.equals("running")) {
@@ -175,13 +177,13 @@
         List<String> wanted = new ArrayList<>();
         for (Task task : tasks.values()) {
             if (!task.status.equals("fetching")) continue;
-            Map<String, Object> spec = site.rules.spec(task.job());
+            Map<String, Object> spec = deployment.rules.spec(task.job());
             String bundle = (String) spec.get("bundle");
             images.putIfAbsent(bundle, (Double) spec.get("pull_gb"));
             if (images.get(bundle) > 0 && !wanted.contains(bundle)) wanted.add(bundle);
         }
         for (String bundle : wanted)
-            images.merge(bundle, -elapsed * 0.1 / wanted.size(), Double::sum);
+            images.merge(bundle, -elapsed * type.fetchGbPerS / wanted.size(), Double::sum);
         images.entrySet().removeIf(e -> e.getValue() > 0 && !wanted.contains(e.getKey()));
     }
 
@@ -196,7 +198,7 @@
         }
         return Json.write(
             Json.map(
-                "box", id, "endpoint", endpoint(), "boxkind", "rackmid", "ward", ward,
+                "box", id, "endpoint", endpoint(), "boxkind", type.label, "ward", ward,
                 "loaners", loaners, "shift", shift, "tick", ++tick, "baton", baton,
                 "recall_s", null, "pieces", pieces));
     }
@@ -213,18 +215,18 @@
             long sentIn;
             int to;
             synchronized (this) {
-                double now = site.record.now();
+                double now = deployment.record.now();
                 boolean due = now >= nextReport || (changed && now - lastReport >= 0.5);
                 if (hung || gone || !due) continue;
                 changed = false;
                 body = report();
                 sentAt = now;
                 lastReport = now;
-                nextReport = now + site.reportS * (0.75 + 0.5 * random.nextDouble());
+                nextReport = now + deployment.site.reportS * (0.75 + 0.5 * random.nextDouble());
                 sentIn = shift;
                 to = node;
             }
-            Web.Answer answer = Web.call(site.apis.get(to), "POST", "/hello", body, 4000);
+            Web.Answer answer = Web.call(deployment.apis.get(to), "POST", "/hello", body, 4000);
             synchronized (this) {
                 try {
                     awaitGoing();
@@ -232,15 +234,15 @@
                     return;
                 }
                 if (gone) return;
-                double now = site.record.now();
+                double now = deployment.record.now();
                 boolean late = now - sentAt > 4;
                 if (answer.status == 200 && !late) {
-                    if (sentIn == shift && now - leaseSince <= site.leaseS)
+                    if (sentIn == shift && now - leaseSince <= deployment.site.leaseS)
                         accept(Json.object(answer.body), sentAt);
                 } else if (answer.status == 421 && !late && redirect(answer.body)) {
                     nextReport = now + 0.5 * random.nextDouble();
                 } else {
-                    node = (to + 1) % site.apis.size();
+                    node = (to + 1) % deployment.apis.size();
                     nextReport = now + 1;
                     changed = false;
                 }
@@ -250,7 +252,7 @@
 
     private boolean redirect(String body) {
         if (body.isEmpty()) return false;
-        int target = site.members.indexOf((String) Json.object(body).get("steward"));
+        int target = deployment.members.indexOf((String) Json.object(body).get("steward"));
         if (target < 0 || target == node) return false;
         node = target;
         return true;
@@ -267,8 +269,8 @@
     private void adopt(long token) {
         if (token <= baton) return;
         baton = token;
-        double now = site.record.now();
-        if (now - tokenChangeAt < site.leaseS / 2) return;
+        double now = deployment.record.now();
+        if (now - tokenChangeAt < deployment.site.leaseS / 2) return;
         tokenChangeAt = now;
         changed = true;
     }
@@ -297,20 +299,20 @@
         Task task = new Task();
         task.piece = piece;
         task.attempt = attempt;
-        Map<String, Object> spec = site.rules.spec(task.job());
+        Map<String, Object> spec = deployment.rules.spec(task.job());
         double used = 0;
         boolean busy = false;
         for (Task other : tasks.values()) {
             if (other.status.equals("ended")) continue;
-            used += (Double) site.rules.spec(other.job()).get("cores");
+            used += (Double) deployment.rules.spec(other.job()).get("cores");
             busy |= other.piece.equals(piece);
         }
-        site.record.log("%s is told to start %s try %d", id, piece, attempt);
+        deployment.record.log("%s is told to start %s try %d", id, piece, attempt);
         tasks.put(key, task);
         changed = true;
         if (spec == null) refuse(task, "unknown");
         else if (busy) refuse(task, "busy");
-        else if (used + (Double) spec.get("cores") > 16.000001) refuse(task, "full");
+        else if (used + (Double) spec.get("cores") > type.cores + 1e-6) refuse(task, "full");
     }
 
     private void refuse(Task task, String cause) {
@@ -321,7 +323,7 @@
     private void halt(Task task, double letGo) {
         if (task.status.equals("ended")) return;
         if (task.status.equals("saving") && letGo > 0) return;
-        Map<String, Object> spec = site.rules.spec(task.job());
+        Map<String, Object> spec = deployment.rules.spec(task.job());
         double save = (Double) spec.get("dump_s");
         boolean saves = task.status.equals("running") && (Double) spec.get("savepoint_s") > 0;
         if (saves && letGo >= save) {
