The end of a lease no longer releases the tasks of a silent machine

Cause: MachineHealthMonitor.expireLease released the placements of a machine whose lease was over. A machine that hangs executes nothing, so its tasks are still on it. The first check after a load of the stored state finds such a lease before it looks for silent machines; where too many machines were silent at once, nothing else was done for them at all.

Now time alone releases no task. A silent machine with tasks whose lease is over is decommissioned, also if many are, and its tasks wait for the deletion or for a heartbeat of a new incarnation.

--- a/src/main/kotlin/wardmux/fleet/LeaseExpiry.kt
+++ b/src/main/kotlin/wardmux/fleet/LeaseExpiry.kt
@@ -18,7 +18,10 @@
     fun latestRenewal(renewedAt: Micros, leaseDuration: Micros): Micros
 }
 
-/** Determines whether the lease of a machine has certainly expired, so that no tasks run there. */
+/**
+ * Determines whether the lease of a machine has certainly expired. A worker that executes has killed
+ * its tasks by then. A machine that hangs has not, so this does not prove that no task is there.
+ */
 class LeaseExpiry(
     private val context: CoreContext,
     workers: WorkerTiming,
--- a/src/main/kotlin/wardmux/fleet/MachineDecommissioner.kt
+++ b/src/main/kotlin/wardmux/fleet/MachineDecommissioner.kt
@@ -39,7 +39,7 @@
     /** A direct start command got no response, and no tasks are left on the machine. */
     const val START_UNANSWERED = "orders unanswered"
 
-    /** The lease expired, and the machine may still hold tasks of cancelled jobs. */
+    /** The lease expired while the machine, which holds tasks, was silent. */
     const val LEASE_EXPIRED = "lease over"
 
     /** No heartbeat arrived for [HeartbeatTimeouts.lost]. */
--- a/src/main/kotlin/wardmux/fleet/MachineHealthMonitor.kt
+++ b/src/main/kotlin/wardmux/fleet/MachineHealthMonitor.kt
@@ -9,8 +9,10 @@
 import wardmux.scheduling.ClusterState
 
 /**
- * Checks the machines that are up. It decommissions those that stopped sending heartbeats, were
- * preempted or do not receive commands, and releases the tasks of machines whose lease has expired.
+ * Checks the machines that are up, and decommissions those that stopped sending heartbeats, were
+ * preempted or do not receive commands. Time alone releases no task: a silent machine may hang, so
+ * that the end of its lease has not ended its tasks yet. They count as being on the machine until
+ * it sends a heartbeat of a new incarnation or is deleted.
  */
 class MachineHealthMonitor(
     private val context: CoreContext,
@@ -37,6 +39,7 @@
      */
     private class DecommissionCandidates {
         val silent = ArrayList<Machine>()
+        val withExpiredLease = ArrayList<Machine>()
         val unreachable = ArrayList<Machine>()
         val withUnlistedStart = ArrayList<Machine>()
     }
@@ -61,7 +64,9 @@
     private fun check(machine: Machine, candidates: DecommissionCandidates) {
         val silence = context.now - (machine.lastHeartbeatAt ?: return)
         machine.hasOverdueStart = unlistedFor(machine) > timeouts.unlistedStart
-        if (!machine.isEmpty && leaseExpiry.hasExpired(machine)) expireLease(machine, silence)
+        // Users were promised that tasks of cancelled jobs are gone by a certain time.
+        if (machine.holdsCancelled && isSilentBeyondLease(machine, silence))
+            decommissioner.decommission(machine, DecommissionReason.LEASE_EXPIRED)
         if (machine.hasUnansweredStart && machine.forwardedBy != null) releaseUnsentStarts(machine)
         if (isPreempted(machine, silence)) {
             decommissioner.decommission(machine, DecommissionReason.PREEMPTED)
@@ -87,6 +92,8 @@
         silence: Micros,
         candidates: DecommissionCandidates,
     ) {
+        if (!machine.isEmpty && isSilentBeyondLease(machine, silence))
+            candidates.withExpiredLease.add(machine)
         when {
             silence > timeouts.lost -> candidates.silent.add(machine)
             silence > timeouts.unreachable && machine.hasProbeFailed ->
@@ -99,18 +106,12 @@
     }
 
     /**
-     * Releases the tasks of [machine], whose lease has expired. The machine is decommissioned first
-     * if it may hold tasks of cancelled jobs.
+     * Whether [machine] has been silent for longer than a lease lasts, and its lease has certainly
+     * expired. Its tasks are lost then: they have ended, or end as soon as the machine executes
+     * anything again.
      */
-    private fun expireLease(machine: Machine, silence: Micros) {
-        log.info("lease of machine {} expired", machine.id)
-        // If the machine hangs, its cancelled tasks end only when it is deleted. The release below
-        // removes their records, so a later leader would not know of these tasks.
-        if (silence > leaseExpiry.maxLeaseDuration && machine.holdsCancelled) {
-            decommissioner.decommission(machine, DecommissionReason.LEASE_EXPIRED)
-        }
-        cluster.releaseAll(machine, "lease expired")
-    }
+    private fun isSilentBeyondLease(machine: Machine, silence: Micros) =
+        silence > leaseExpiry.maxLeaseDuration && leaseExpiry.hasExpired(machine)
 
     /**
      * Releases the placements on [machine] whose start cannot be sent. After an unanswered direct
@@ -128,14 +129,18 @@
 
     /**
      * Decommissions the [candidates], out of [up] machines that are up. If too many have the same
-     * problem at once, a network fault is more likely than faults of the machines: they are kept,
-     * and only the expiry of a lease releases the tasks. Machines that have had the problem for
-     * more than twice the longest lease duration are decommissioned in any case, unless only their
-     * probes fail.
+     * problem at once, a network fault is more likely than faults of the machines, and they are
+     * kept. Machines that hold tasks are decommissioned once their lease has expired, however many
+     * they are, because only their deletion lets the tasks run elsewhere. Machines that have had
+     * the problem for more than twice the longest lease duration are decommissioned in any case,
+     * unless only their probes fail.
      */
     private fun decommission(candidates: DecommissionCandidates, up: Int) {
         val maxAtOnce = maxOf(MIN_BULK_LIMIT, up / BULK_LIMIT_DIVISOR)
         val maxDuration = leaseExpiry.maxLeaseDuration * 2.0
+        for (machine in candidates.withExpiredLease) {
+            decommissioner.decommission(machine, DecommissionReason.LEASE_EXPIRED)
+        }
         for (machine in candidates.silent) {
             val silence = context.now - (machine.lastHeartbeatAt ?: continue)
             if (candidates.silent.size <= maxAtOnce || silence > maxDuration)
--- a/src/test/kotlin/wardmux/fleet/MachineHealthMonitorTest.kt
+++ b/src/test/kotlin/wardmux/fleet/MachineHealthMonitorTest.kt
@@ -3,6 +3,8 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import wardmux.core.Outcome
 import wardmux.model.seconds
 import wardmux.sim.ControllerHarness
@@ -183,4 +185,86 @@
         harness.run(3.seconds)
         assertEquals(1, directStarts(), "direct starts of job-000001/0 after a renewal")
     }
+
+    /** Starts [job], a job of one task, and returns its task as its machine lists it. */
+    private fun startTask(job: String): String {
+        harness.writeAcceptedJob(plainJob(1, job))
+        harness.run(1.seconds)
+        assertEquals(1, directStartCount("$job/0"), "direct starts of $job/0")
+        return """{"piece":"$job/0","try":1,"status":"running"}"""
+    }
+
+    /** The number of commands that start the second attempt of the only task of [job]. */
+    private fun secondStartCount(job: String) = directStartCount(""""$job/0","try":2""")
+
+    /**
+     * Guards against a second run of a task while a machine hangs: the machine executes nothing, so
+     * the end of its lease does not end its tasks. While the stored state is loaded no machine is
+     * checked, so the first check finds a lease that is over already.
+     */
+    @Test
+    fun `a task of a machine that hangs beyond its lease during a load waits for its deletion`() {
+        harness.run(2.seconds)
+        val token = first.fetchLeaderToken()
+        first.heartbeatResponse(token)
+        harness.directCommandOutcome = Outcome.Response(200, "{}".encodeToByteArray())
+        val task = startTask("job-000001")
+        first.heartbeatResponse(token, task)
+        second.heartbeatResponse(token)
+        harness.write("tags", harness.storedValue("tags")!!)
+        harness.refusesStoreRequest = { it.startsWith("/keys") }
+        harness.writeAcceptedJob(plainJob(1, "job-000002"))
+        val runSecond = { seconds: Int ->
+            repeat(seconds) {
+                second.sendHeartbeat(token)
+                harness.run(1.seconds)
+            }
+        }
+        runSecond(20)
+        harness.refusesStoreRequest = { false }
+        runSecond(10)
+        assertEquals(1, directStartCount("job-000002/0"), "direct starts after the load")
+        assertEquals(0, secondStartCount("job-000001"), "starts while the machine may hang")
+        assertTrue(deletionRequestCount("i-000001") > 0, "expected the deletion of i-000001")
+    }
+
+    /**
+     * Guards against the same failure where too many machines are silent for a fault of their own,
+     * so that they are kept at first: three of six, and all of four.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = [4, 6])
+    fun `tasks of many machines that hang beyond their leases wait for their deletion`(count: Int) {
+        val machines = List(count) { ManualWorker(harness, "i-00000${it + 1}") }
+        harness.run(2.seconds)
+        val token = machines[0].fetchLeaderToken()
+        harness.directCommandOutcome = Outcome.Response(200, "{}".encodeToByteArray())
+        val hanging = machines.take(HANGING_MACHINES)
+        val tasks =
+            hanging.mapIndexed { index, machine ->
+                // Each task starts on the only machine that is known and not full by then.
+                machine.heartbeatResponse(token)
+                harness.writeAcceptedJob(plainJob(1, "job-00000$index").copy(cpus = 16.0))
+                harness.run(1.seconds)
+                """{"piece":"job-00000$index/0","try":1,"status":"running"}"""
+            }
+        for ((machine, task) in hanging zip tasks) machine.heartbeatResponse(token, task)
+        val others = machines.drop(HANGING_MACHINES)
+        for (machine in others) machine.heartbeatResponse(token)
+        val responsive = if (count > 4) others else emptyList()
+        repeat(60) {
+            for (machine in responsive) machine.sendHeartbeat(token)
+            harness.run(1.seconds)
+        }
+        val secondStarts = hanging.indices.sumOf { secondStartCount("job-00000$it") }
+        assertEquals(0, secondStarts, "starts while the machines may hang")
+        if (responsive.isNotEmpty()) {
+            val deleted = (1..HANGING_MACHINES).count { deletionRequestCount("i-00000$it") > 0 }
+            assertEquals(HANGING_MACHINES, deleted, "deleted machines")
+        }
+    }
+
+    private companion object {
+        const val HANGING_MACHINES = 3
+    }
 }
