Machines that are lost before their first heartbeat are replaced

Cause: a rented or listed machine counts as capacity until it is deleted, and nothing noticed the loss of one that had never sent a heartbeat: the cloud's list was only read for the machines that it contains.

Now a machine that is not up and missing in a list that is certainly newer than the last confirmation of the provider is decommissioned, and so is one that is listed as running for long without a heartbeat under the leader's token. Machine.isExpectedToServe replaces four conditions for what counts as capacity.

--- a/src/main/kotlin/wardmux/cloud/CapacityController.kt
+++ b/src/main/kotlin/wardmux/cloud/CapacityController.kt
@@ -113,10 +113,8 @@
      * no tasks because a start has not reached it.
      */
     private fun countsAsCapacity(machine: Machine) =
-        machine.preemptionNoticeAt == null &&
-            !machine.hasOnlyStaleHeartbeats &&
+        machine.isExpectedToServe &&
             !machine.isScalingIn &&
-            !machine.hasOverdueStart &&
             machine.maintenance == Maintenance.NONE
 
     /** The capacity for which rental requests are pending, in machines of the base type. */
--- a/src/main/kotlin/wardmux/cloud/JobProvisioner.kt
+++ b/src/main/kotlin/wardmux/cloud/JobProvisioner.kt
@@ -49,9 +49,7 @@
     /** True if a machine that [job] may use stays in service and has room now or later. */
     private fun hasSuitableMachine(job: Job) =
         cluster.machines.values.any {
-            !it.isDecommissioned &&
-                it.preemptionNoticeAt == null &&
-                !it.hasOverdueStart &&
+            it.isExpectedToServe &&
                 (it.maintenance == Maintenance.NONE || it.maintenance == Maintenance.PREPARING) &&
                 eligibility.couldRun(job, it.type, it.zone, it.spot) &&
                 mayHaveRoomLater(job, it)
@@ -115,7 +113,7 @@
             cluster.machines.values.count {
                 it.zone == zone &&
                     !it.isUp &&
-                    !it.isDecommissioned &&
+                    it.isExpectedToServe &&
                     eligibility.satisfiesConstraints(spec, it)
             }
 }
--- a/src/main/kotlin/wardmux/cloud/MachineListReader.kt
+++ b/src/main/kotlin/wardmux/cloud/MachineListReader.kt
@@ -23,6 +23,9 @@
     private val decommissioning = environment.decommissioning
     private val listLag = limits.listLagS.seconds
     private val listTimeout = (limits.listLagS * LIST_TIMEOUT_IN_LAGS).seconds
+
+    /** A list describes the machines as they were at most this long before it was requested. */
+    private val maxListAge = (limits.listLagS * MAX_LAGS_OF_LIST).seconds + LIST_AGE_MARGIN
     private val electedAt = context.now
     private var nextReadAt = Micros.LONG_AGO
     private var isReading = false
@@ -48,6 +51,7 @@
 
     private fun read() {
         isReading = true
+        val requestedAt = context.now
         cloud.list { result ->
             isReading = false
             nextReadAt = context.now + listLag
@@ -56,6 +60,7 @@
                 val discovered = result.value.count { recordEntry(it) }
                 if (discovered > 0)
                     log.info("discovered {} unknown machines in the cloud's list", discovered)
+                decommissionUnlisted(result.value, requestedAt)
             }
         }
     }
@@ -71,6 +76,7 @@
         val machine =
             known ?: registry.findOrAdd(id, entry.type, entry.zone, entry.spot) ?: return false
         machine.hasOnlyStaleHeartbeats = false
+        machine.recordProviderConfirmation(context.now)
         machine.recordListing(context.wallTime, entry.heldS.seconds)
         if (known == null)
             log.debug("discovered machine {} in the cloud's list with status {}", id, entry.status)
@@ -81,7 +87,7 @@
                 cluster.releaseAll(machine, "listed as failed")
                 decommissioning.decommission(machine, "failed")
             }
-            ListedMachine.RUNNING -> Unit
+            ListedMachine.RUNNING -> machine.recordListedRunning(context.now)
             else -> {
                 val bootTimeoutS = machine.type.bootS * BOOT_TIMEOUT_IN_BOOT_TIMES
                 if (!machine.isUp && entry.heldS > bootTimeoutS)
@@ -91,10 +97,30 @@
         return known == null
     }
 
+    /**
+     * Decommissions the machines that are not up and that [list], which was requested at
+     * [requestedAt], does not contain although it describes a later time than the provider's last
+     * confirmation that they exist. Machines are listed until they are gone, so these were taken
+     * back before their workers sent a heartbeat that could have been missed.
+     */
+    private fun decommissionUnlisted(list: List<ListedMachine>, requestedAt: Micros) {
+        val listedIds = list.mapTo(HashSet()) { MachineId(it.id) }
+        for (machine in cluster.machines.values) {
+            if (machine.isUp || machine.isDecommissioned || machine.id in listedIds) continue
+            val confirmedAt = machine.confirmedByProviderAt ?: continue
+            if (requestedAt - confirmedAt > maxListAge)
+                decommissioning.decommission(machine, "no longer listed")
+        }
+    }
+
     private companion object {
         /** How long decisions wait for the first list, as a multiple of its lag. */
         const val LIST_TIMEOUT_IN_LAGS = 4
 
+        /** The most that a list lags, as a multiple of its usual lag. Source: the cloud's protocol. */
+        const val MAX_LAGS_OF_LIST = 2.0
+        val LIST_AGE_MARGIN = 1.seconds
+
         /** A machine that is not up after this multiple of its boot time is decommissioned. */
         const val BOOT_TIMEOUT_IN_BOOT_TIMES = 3.0
     }
--- a/src/main/kotlin/wardmux/cloud/MachineRentals.kt
+++ b/src/main/kotlin/wardmux/cloud/MachineRentals.kt
@@ -138,12 +138,11 @@
             request.count,
             rental.kind,
         )
-        for (id in machines) registry.findOrAdd(
-            MachineId(id),
-            request.type,
-            request.zone,
-            request.spot,
-        )
+        for (id in machines) {
+            registry
+                .findOrAdd(MachineId(id), request.type, request.zone, request.spot)
+                ?.recordProviderConfirmation(context.now)
+        }
         if (machines.size < request.count) backOff(rental.kind)
     }
 
--- a/src/main/kotlin/wardmux/drain/ReplacementCapacity.kt
+++ b/src/main/kotlin/wardmux/drain/ReplacementCapacity.kt
@@ -33,6 +33,6 @@
 
     private fun isBooting(job: Job) =
         cluster.machines.values.any {
-            !it.isUp && !it.isDecommissioned && eligibility.couldRun(job, it.type, it.zone, it.spot)
+            !it.isUp && it.isExpectedToServe && eligibility.couldRun(job, it.type, it.zone, it.spot)
         }
 }
--- a/src/main/kotlin/wardmux/fleet/MachineDecommissioner.kt
+++ b/src/main/kotlin/wardmux/fleet/MachineDecommissioner.kt
@@ -59,7 +59,10 @@
      */
     const val CANCELLED_TASKS_UNREPORTED = "cancelled tasks, never reported"
 
-    /** The machine has placements but sent no heartbeat under this leader's token. */
+    /**
+     * The machine has placements, or is listed as running, but sent no heartbeat under this leader's
+     * token.
+     */
     const val NEVER_REPORTED = "never reported to this leader"
 
     /**
--- a/src/main/kotlin/wardmux/fleet/UnconfirmedMachineMonitor.kt
+++ b/src/main/kotlin/wardmux/fleet/UnconfirmedMachineMonitor.kt
@@ -10,9 +10,9 @@
 import wardmux.scheduling.ClusterState
 
 /**
- * Decommissions machines that have placements, or have sent heartbeats under an older fencing
- * token, but never sent one under this leader's token. An earlier leader may still renew their
- * leases, so only deleting them proves that no tasks run there.
+ * Decommissions machines that never sent a heartbeat under this leader's token although they have
+ * placements, have sent heartbeats under an older token, or are listed as running. An earlier
+ * leader may still renew their leases, so only deleting them proves that no tasks run there.
  */
 class UnconfirmedMachineMonitor(
     private val context: CoreContext,
@@ -38,6 +38,7 @@
     fun check(reachableSince: Micros) {
         if (!cancellations.isLoaded) return
         decommissionStale()
+        decommissionListed()
         val unconfirmed =
             cluster.machines.values.filter {
                 !it.isUp && !it.isDecommissioned && it.placements.isNotEmpty()
@@ -96,6 +97,32 @@
         }
     }
 
+    /**
+     * Decommissions the machines that are listed as running and have not sent a first heartbeat in
+     * time. If there are many, a network fault is more likely than faults of the machines: they do
+     * not count as capacity meanwhile, and get twice the time.
+     */
+    private fun decommissionListed() {
+        val overdue =
+            cluster.machines.values.filter {
+                !it.isUp &&
+                    !it.isDecommissioned &&
+                    it.placements.isEmpty() &&
+                    listedFor(it) > longFirstHeartbeatTimeout
+            }
+        val maxAtOnce = maxOf(MIN_BULK_LIMIT, cluster.machines.values.count { it.isUp } / BULK_LIMIT_DIVISOR)
+        for (machine in overdue) {
+            machine.hasOverdueFirstHeartbeat = true
+            val isLongOverdue = listedFor(machine) > longFirstHeartbeatTimeout * 2.0
+            if (overdue.size <= maxAtOnce || isLongOverdue)
+                decommissioner.decommission(machine, DecommissionReason.NEVER_REPORTED)
+        }
+    }
+
+    /** For how long the cloud has listed [machine] as running, as far as this leader knows. */
+    private fun listedFor(machine: Machine): Micros =
+        context.now - (machine.listedRunningSince ?: context.now)
+
     /** Decommissions the machine with this [id], which is known only from stored records. */
     private fun decommissionUnknown(id: MachineId) {
         val machine = registry.findOrAddRecorded(id) ?: return
@@ -103,6 +130,15 @@
     }
 
     private companion object {
+        /** This many machines without a first heartbeat are always decommissioned together. */
+        const val MIN_BULK_LIMIT = 2
+
+        /**
+         * With more than the number of machines that are up, divided by this, the machines get more
+         * time.
+         */
+        const val BULK_LIMIT_DIVISOR = 3
+
         /**
          * How long a worker waits for a response to its heartbeat before it tries another
          * controller.
--- a/src/main/kotlin/wardmux/model/Machine.kt
+++ b/src/main/kotlin/wardmux/model/Machine.kt
@@ -98,6 +98,7 @@
     /** Records that a heartbeat with this leader's token arrived, which was sent at [sentAt]. */
     fun recordCurrentTokenHeartbeat(sentAt: Micros) {
         hasOnlyStaleHeartbeats = false
+        hasOverdueFirstHeartbeat = false
         lastHeartbeatAt = maxOf(lastHeartbeatAt ?: sentAt, sentAt)
         hasProbeFailed = false
     }
@@ -173,6 +174,18 @@
     var preemptedAt = Micros.NEVER
         private set
 
+    /**
+     * True unless the machine is out of use or about to be, or there is a reason to doubt that it
+     * will take tasks. Only such machines may count as capacity for work that waits.
+     */
+    val isExpectedToServe: Boolean
+        get() =
+            !isDecommissioned &&
+                preemptionNoticeAt == null &&
+                !hasOnlyStaleHeartbeats &&
+                !hasOverdueStart &&
+                !hasOverdueFirstHeartbeat
+
     /** True if the machine is permanently out of use. */
     var isDecommissioned = false
 
@@ -220,6 +233,33 @@
 
     // The rental of the machine.
 
+    /**
+     * When the provider last confirmed to this leader that the machine exists, by the response to a
+     * rental request or by its list; null if it never did.
+     */
+    var confirmedByProviderAt: Micros? = null
+        private set
+
+    /** When the provider's list first gave the machine as running; null before that. */
+    var listedRunningSince: Micros? = null
+        private set
+
+    /**
+     * True if the machine has been listed as running for long without a heartbeat under this
+     * leader's token. It then does not count as capacity.
+     */
+    var hasOverdueFirstHeartbeat = false
+
+    /** Records that the provider confirmed at [now] that the machine exists. */
+    fun recordProviderConfirmation(now: Micros) {
+        confirmedByProviderAt = now
+    }
+
+    /** Records that the provider's list gives the machine as running. */
+    fun recordListedRunning(now: Micros) {
+        if (listedRunningSince == null) listedRunningSince = now
+    }
+
     /**
      * The time of day at or before which the machine was rented; null until the provider has listed
      * the machine.
--- a/src/test/kotlin/wardmux/sim/FakeCloud.kt
+++ b/src/test/kotlin/wardmux/sim/FakeCloud.kt
@@ -47,6 +47,9 @@
     /** The probability that a rented machine never starts. */
     var startFailureProbability = 0.0
 
+    /** The shortest and the longest time that a machine takes to start. */
+    var bootTimes = 1.seconds..6.seconds
+
     /** Whether machines that start from now on fail every task. */
     var newMachinesFailTasks = false
 
@@ -63,13 +66,13 @@
     /** The workers of all machines that have started and not crashed. */
     fun workers(): List<FakeWorker> = machines.values.mapNotNull { it.worker }.filter { it.alive }
 
-    /** Rents a machine, which starts 1 to 6 s later, and returns its ID. */
+    /** Rents a machine, which starts within [bootTimes], and returns its ID. */
     fun rent(zone: String, spot: Boolean): String {
         val id = "i-%06d".format(nextMachineNumber++)
         val machine = RentedMachine(id, zone, spot, clock.now)
         machines[id] = machine
         if (!clock.chance(startFailureProbability)) {
-            clock.after(clock.randomBetween(1.seconds, 6.seconds)) {
+            clock.after(clock.randomBetween(bootTimes.start, bootTimes.endInclusive)) {
                 if (machines[id] === machine)
                     machine.worker =
                         newWorker(id, MACHINE_TYPE_NAME, zone, spot).also {
@@ -92,6 +95,19 @@
         machines.remove(worker.id)
     }
 
+    /**
+     * Takes back all spot machines that were rented at least [age] ago and have not started yet:
+     * they disappear from the list. Returns how many there were.
+     */
+    fun reclaimStartingSpot(age: Micros = Micros.ZERO): Int {
+        val starting =
+            machines.values.filter {
+                it.spot && it.worker == null && clock.now - it.rentedAt >= age
+            }
+        for (machine in starting) machines.remove(machine.id)
+        return starting.size
+    }
+
     private fun listing() =
         buildJsonObject {
                 putJsonArray("boxes") {
