Simulation: lost machines and late copies of commands are drawn at random

The simulation drew no machine that is lost before its first heartbeat, no copy of a direct command that is minutes late, and hangs beyond a lease only apart from loads of the stored state. LossFaults draws them: hangs of a few or of half of the machines, also while writes go unanswered and the store is down; spot machines taken while they start; machines that start mute; and copies of direct commands up to 300 s late, with cancellations and with a controller, a machine or a preemption in between.

--- a/src/test/kotlin/wardmux/sim/ClusterSimulation.kt
+++ b/src/test/kotlin/wardmux/sim/ClusterSimulation.kt
@@ -245,6 +245,8 @@
                 deliver(effect, respond)
                 // A duplicate arrives after the request was executed. Its response is dropped.
                 network.maybeDuplicate { deliver(effect) { _, _ -> } }
+                if (effect.path == "/do")
+                    network.maybeDuplicateCommand { deliver(effect) { _, _ -> } }
             }
         }
 
--- a/src/test/kotlin/wardmux/sim/RandomSimulationTest.kt
+++ b/src/test/kotlin/wardmux/sim/RandomSimulationTest.kt
@@ -21,12 +21,14 @@
      *   without faults, that the cluster has recovered
      * @param withPartitionFaults injects partitions and frozen controllers too
      * @param withCancellationFaults injects cancellations, delayed messages and partitions too
+     * @param withLossFaults injects lost machines and late copies of direct commands too
      */
     private class Scenario(
-        seed: Long,
+        private val seed: Long,
         private val withNetworkFaults: Boolean = false,
         private val withPartitionFaults: Boolean = false,
         private val withCancellationFaults: Boolean = false,
+        private val withLossFaults: Boolean = false,
         operators: OperatorSettings = OperatorSettings(),
     ) {
         val simulation = ClusterSimulation(seed, operators = operators)
@@ -34,6 +36,7 @@
         val jobs = ArrayList<String>()
 
         private val faults = FaultInjector(simulation, ::submit)
+        private val lossFaults = LossFaults(simulation)
 
         /** Submits a random job, and cancels services and some others up to 60 s later. */
         private fun submit() {
@@ -77,6 +80,13 @@
         private fun injectRandomFault() {
             val possibleFaults =
                 when {
+                    // Without crashes leaders last long enough for late copies to do harm.
+                    withLossFaults && seed % LOSS_FAULTS_WITH_OTHERS != 0L -> lossFaults.all
+                    withLossFaults ->
+                        faults.basicFaults +
+                            faults.networkFaults +
+                            faults.cancellationFaults +
+                            List(4) { lossFaults.all }.flatten()
                     withCancellationFaults -> {
                         val weightedFaults =
                             faults.cancellationFaults +
@@ -180,6 +190,22 @@
         assertTrue(scenario.simulation.invariants.starts > 0, "no task was started")
     }
 
+    @ParameterizedTest
+    @MethodSource("lossFaultSeeds")
+    fun `invariants hold with lost machines and late copies of commands`(seed: Long) {
+        val scenario =
+            Scenario(
+                seed,
+                withNetworkFaults = true,
+                withCancellationFaults = true,
+                withLossFaults = true,
+                operators = forwardingSettings(seed % 2 != 0L),
+            )
+        scenario.run(withFaults = true)
+        assertEquals(emptyList(), scenario.simulation.violations(), "violated invariants")
+        assertTrue(scenario.simulation.invariants.starts > 0, "no task was started")
+    }
+
     @Test
     fun `every job ends in a scenario without faults`() {
         val scenario = Scenario(100)
@@ -190,6 +216,9 @@
     }
 
     companion object {
+        /** Of so many seeds with lost machines, one has faults of all other kinds too. */
+        private const val LOSS_FAULTS_WITH_OTHERS = 4L
+
         /** The longest fault lasts for 78 s, and delayed messages arrive up to 45 s late. */
         private val FAULTS_END = 285.seconds
 
@@ -210,6 +239,9 @@
         /** Another range can be set: `-Dwardmux.hunted=100-500`. */
         @JvmStatic fun cancellationFaultSeeds(): List<Long> = seedsFrom("wardmux.hunted", "1-24")
 
+        /** Another range can be set: `-Dwardmux.losses=100-500`. */
+        @JvmStatic fun lossFaultSeeds(): List<Long> = seedsFrom("wardmux.losses", "1-40")
+
         /**
          * Seeds that once violated an invariant. With 113, 184 and 321 a job that must run in one
          * zone ran in two, because a later leader did not know where its tasks were. With 114 and
--- a/src/test/kotlin/wardmux/sim/SimulatedClock.kt
+++ b/src/test/kotlin/wardmux/sim/SimulatedClock.kt
@@ -4,6 +4,7 @@
 import kotlin.random.Random
 import wardmux.model.Micros
 import wardmux.model.milliseconds
+import wardmux.model.seconds
 
 /**
  * Simulated time. Scheduled actions run in the order of their time, and those of the same time in
@@ -71,6 +72,12 @@
      */
     var duplicateHeartbeatProbability = 0.0
 
+    /**
+     * The probability that a copy of a direct command, which also arrives in time, arrives up to
+     * 300 s later, which is many times the length of a lease.
+     */
+    var duplicateCommandProbability = 0.0
+
     /**
      * Machines that cannot open a connection to any controller, so that their heartbeats are lost.
      * Direct commands still reach them.
@@ -128,6 +135,16 @@
         }
     }
 
+    /**
+     * Delivers a direct command a second time with [duplicateCommandProbability], 0.2 to 300 s from
+     * now. The caller drops the response.
+     */
+    fun maybeDuplicateCommand(action: () -> Unit) {
+        if (duplicateCommandProbability > 0 && clock.chance(duplicateCommandProbability)) {
+            clock.after(clock.randomBetween(200.milliseconds, 300.seconds), action)
+        }
+    }
+
     /** The latency of an undisturbed message. */
     fun randomLatency(): Micros = clock.randomBetween(1.milliseconds, 8.milliseconds)
 
