An operator's order of unknown outcome is no longer reported as not carried out

Cause: a follower answered 503 where the leader did not answer the order it had sent on, and the leader did so where the key-value store did not answer its write; the command line takes each 503 as a proof that nothing was done.

Now such a 503 has the field outcome_unknown, and the command line says that the outcome is not known and how to find out. The field is left out otherwise.

Not done: a held resume that arrives after a later pause still undoes it.

--- a/src/main/kotlin/wardmux/cli/DrainText.kt
+++ b/src/main/kotlin/wardmux/cli/DrainText.kt
@@ -1,6 +1,5 @@
 package wardmux.cli
 
-import kotlinx.serialization.SerializationException
 import wardmux.drain.BudgetStatus
 import wardmux.drain.DrainCheck
 import wardmux.drain.DrainError
@@ -9,7 +8,6 @@
 import wardmux.drain.DrainStatus
 import wardmux.drain.DrainStep
 import wardmux.drain.Source
-import wardmux.drain.operatorJson
 import wardmux.maintenance.MaintenanceWindows
 import wardmux.model.Micros
 
@@ -51,14 +49,13 @@
     }
 
     /** Returns the message of the [DrainError] in [body], or [body] itself if it holds none. */
-    fun error(body: String): String =
-        try {
-            val error = operatorJson.decodeFromString(DrainError.serializer(), body)
-            val state = error.state?.let { ": ${it.name.lowercase()}" }.orEmpty()
-            error.error + state
-        } catch (e: SerializationException) {
-            body.ifEmpty { "the request was rejected without a reason" }
-        }
+    fun error(body: String): String {
+        val error =
+            DrainError.decode(body)
+                ?: return body.ifEmpty { "the request was rejected without a reason" }
+        val state = error.state?.let { ": ${it.name.lowercase()}" }.orEmpty()
+        return error.error + state
+    }
 
     private fun stateOf(record: DrainRecord): String {
         val reason = record.reason?.let { " (${it.name.lowercase()})" }.orEmpty()
--- a/src/main/kotlin/wardmux/cli/OperatorClient.kt
+++ b/src/main/kotlin/wardmux/cli/OperatorClient.kt
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit
 import wardmux.core.HttpStatus
 import wardmux.core.Outcome
+import wardmux.drain.DrainError
 import wardmux.http.HttpClient
 import wardmux.model.Micros
 import wardmux.model.milliseconds
@@ -18,7 +19,7 @@
 
     /**
      * No controller gave a final answer within the timeout. [mayHaveBeenCarriedOut] is true if a
-     * request was sent and got no response.
+     * request was sent and got no response, here or between two controllers.
      */
     class TimedOut(val mayHaveBeenCarriedOut: Boolean) : OperatorReply
 }
@@ -41,7 +42,7 @@
         var nextClient = 0
         while (System.nanoTime() < deadline) {
             val outcome = sendOnce(clients[nextClient++ % clients.size], method, path, body)
-            if (outcome is Outcome.NoResponse) mayHaveBeenCarriedOut = true
+            if (isOutcomeUnknown(outcome)) mayHaveBeenCarriedOut = true
             if (outcome is Outcome.Response && outcome.status != HttpStatus.SERVICE_UNAVAILABLE)
                 return OperatorReply.Answered(outcome.status, outcome.text)
             Thread.sleep(RETRY_PAUSE_MILLIS)
@@ -49,6 +50,13 @@
         return OperatorReply.TimedOut(mayHaveBeenCarriedOut)
     }
 
+    private fun isOutcomeUnknown(outcome: Outcome): Boolean =
+        when (outcome) {
+            is Outcome.NotSent -> false
+            is Outcome.NoResponse -> true
+            is Outcome.Response -> DrainError.decode(outcome.text)?.outcomeUnknown == true
+        }
+
     private fun sendOnce(client: HttpClient, method: String, path: String, body: String): Outcome {
         val outcome = CompletableFuture<Outcome>()
         group.next().execute {
--- a/src/main/kotlin/wardmux/cli/OperatorCommand.kt
+++ b/src/main/kotlin/wardmux/cli/OperatorCommand.kt
@@ -94,7 +94,9 @@
 
     private fun printTimeout(reply: OperatorReply.TimedOut): Int {
         val effect =
-            if (reply.mayHaveBeenCarriedOut) "it is not known whether the request was carried out"
+            if (reply.mayHaveBeenCarriedOut)
+                "it is not known whether the request was carried out, or still will be; " +
+                    "'wardmux drain list' shows it, and it is safe to repeat it"
             else "nothing was carried out"
         spec
             .commandLine()
--- a/src/main/kotlin/wardmux/drain/DrainApi.kt
+++ b/src/main/kotlin/wardmux/drain/DrainApi.kt
@@ -65,21 +65,24 @@
         val body = CborFormat.encode(ForwardedRequest.serializer(), request)
         context.send(Target.Peer(member), "POST", DrainPaths.FORWARDED, body, FORWARD_TIMEOUT) {
             outcome ->
-            val response = outcome as? Outcome.Response
-            val forwarded =
-                response
-                    ?.takeIf { it.status == HttpStatus.OK }
-                    ?.let { CborFormat.decode(ForwardedResponse.serializer(), it.body) }
-            if (forwarded == null) answerFromStore(call, request, OperatorResponses.UNAVAILABLE)
-            else
-                answerOrReadStore(
-                    call,
-                    request,
-                    OperatorResponse(forwarded.status, forwarded.body, forwarded.retryAfterS),
-                )
+            answerOrReadStore(call, request, responseOf(outcome))
         }
     }
 
+    /**
+     * The response to the operator, given the [outcome] of the forwarded request. A request that
+     * was sent and got no usable answer may have been carried out, or may still be.
+     */
+    private fun responseOf(outcome: Outcome): OperatorResponse {
+        if (outcome is Outcome.NotSent) return OperatorResponses.UNAVAILABLE
+        if (outcome !is Outcome.Response) return OperatorResponses.OUTCOME_UNKNOWN
+        if (outcome.status != HttpStatus.OK) return OperatorResponses.UNAVAILABLE
+        val forwarded =
+            CborFormat.decode(ForwardedResponse.serializer(), outcome.body)
+                ?: return OperatorResponses.OUTCOME_UNKNOWN
+        return OperatorResponse(forwarded.status, forwarded.body, forwarded.retryAfterS)
+    }
+
     private fun answerOrReadStore(
         call: Long,
         request: ForwardedRequest,
--- a/src/main/kotlin/wardmux/drain/DrainService.kt
+++ b/src/main/kotlin/wardmux/drain/DrainService.kt
@@ -126,9 +126,13 @@
 
     private fun write(record: DrainRecord, status: Int, respond: (OperatorResponse) -> Unit) {
         drains.write(record) { next, outcome ->
-            if (outcome == DrainWriteOutcome.WRITTEN)
-                respond(OperatorResponses.status(status, statuses.of(next)))
-            else respond(OperatorResponses.UNAVAILABLE)
+            respond(
+                when (outcome) {
+                    DrainWriteOutcome.WRITTEN -> OperatorResponses.status(status, statuses.of(next))
+                    DrainWriteOutcome.REFUSED -> OperatorResponses.UNAVAILABLE
+                    DrainWriteOutcome.UNKNOWN -> OperatorResponses.OUTCOME_UNKNOWN
+                }
+            )
         }
     }
 
--- a/src/main/kotlin/wardmux/drain/DrainWire.kt
+++ b/src/main/kotlin/wardmux/drain/DrainWire.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
 /** The body of the response to a refused request. */
@@ -10,7 +11,21 @@
     @SerialName("error") val error: String,
     /** The final state of the drain if the request was refused because of it, otherwise null. */
     @SerialName("state") val state: DrainState? = null,
-)
+    /**
+     * True if the request may have been carried out, or may still be; null if it certainly was not.
+     */
+    @SerialName("outcome_unknown") val outcomeUnknown: Boolean? = null,
+) {
+    companion object {
+        /** Decodes [body], the body of a response; null if it is none of a refused request. */
+        fun decode(body: String): DrainError? =
+            try {
+                operatorJson.decodeFromString(serializer(), body)
+            } catch (e: SerializationException) {
+                null
+            }
+    }
+}
 
 /** How much of a team's disruption budget is in use. */
 @Serializable
--- a/src/main/kotlin/wardmux/drain/OperatorResponses.kt
+++ b/src/main/kotlin/wardmux/drain/OperatorResponses.kt
@@ -8,7 +8,8 @@
     private const val RETRY_AFTER_S = 1
 
     /**
-     * No leader can handle the request now. The operator may retry after [RETRY_AFTER_S] seconds.
+     * No leader can handle the request now, and it is not carried out. The operator may retry after
+     * [RETRY_AFTER_S] seconds.
      */
     val UNAVAILABLE =
         error(
@@ -17,6 +18,21 @@
             RETRY_AFTER_S,
         )
 
+    /**
+     * The request may have been carried out, or may still be: the leader did not answer it, or the
+     * key-value store did not answer the leader. The status is that of [UNAVAILABLE], because
+     * earlier versions of the command line repeat only such requests.
+     */
+    val OUTCOME_UNKNOWN =
+        error(
+            HttpStatus.SERVICE_UNAVAILABLE,
+            DrainError(
+                "it is not known whether the request was carried out",
+                outcomeUnknown = true,
+            ),
+            RETRY_AFTER_S,
+        )
+
     /** The status of one drain. */
     fun status(code: Int, status: DrainStatus) = of(code, DrainStatus.serializer(), status)
 
--- a/src/test/kotlin/wardmux/cli/DrainCommandTest.kt
+++ b/src/test/kotlin/wardmux/cli/DrainCommandTest.kt
@@ -1,7 +1,9 @@
 package wardmux.cli
 
+import com.sun.net.httpserver.HttpServer
 import java.io.PrintWriter
 import java.io.StringWriter
+import java.net.InetSocketAddress
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -40,6 +42,38 @@
         )
     }
 
+    /** Runs `drain start` against a controller that answers each request with 503 and [body]. */
+    private fun startAgainst(body: String): Int {
+        val server = HttpServer.create(InetSocketAddress("127.0.0.1", 0), 0)
+        server.createContext("/") { exchange ->
+            exchange.requestBody.readAllBytes()
+            exchange.sendResponseHeaders(503, body.length.toLong())
+            exchange.responseBody.use { it.write(body.encodeToByteArray()) }
+        }
+        server.start()
+        val address = "127.0.0.1:${server.address.port}"
+        try {
+            return run("start", "--id", "d1", "--controller", address, "--timeout", "1.0")
+        } finally {
+            server.stop(0)
+        }
+    }
+
+    @Test
+    fun `an unknown outcome of a forwarded request is not reported as nothing carried out`() {
+        val code = startAgainst("""{"error":"no answer","outcome_unknown":true}""")
+        assertEquals(DrainExit.NO_ANSWER, code)
+        assertTrue("it is not known whether" in output.toString(), "in: $output")
+        assertTrue("wardmux drain list" in output.toString(), "in: $output")
+    }
+
+    @Test
+    fun `a request that no leader got is reported as nothing carried out`() {
+        val code = startAgainst("""{"error":"no leader"}""")
+        assertEquals(DrainExit.NO_ANSWER, code)
+        assertTrue("nothing was carried out" in output.toString(), "in: $output")
+    }
+
     @Test
     fun `an invalid option is reported by its name with the exit code of a bad request`() {
         assertEquals(DrainExit.BAD_REQUEST, run("list", "--controller", "nowhere"))
--- a/src/test/kotlin/wardmux/drain/DrainOperationsTest.kt
+++ b/src/test/kotlin/wardmux/drain/DrainOperationsTest.kt
@@ -2,6 +2,7 @@
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
 import org.junit.jupiter.params.ParameterizedTest
@@ -387,6 +388,34 @@
         scenario.assertDrained()
     }
 
+    /**
+     * Guards against an operator who is told that nothing was done although the leader carried the
+     * request out, or may still do so: the request reached it and the response did not come back.
+     */
+    @Test
+    fun `a forwarded request without an answer is answered with an unknown outcome`() {
+        val scenario = DrainScenario(24).startJobs()
+        val simulation = scenario.simulation
+        val leader = checkNotNull(simulation.leader())
+        val follower = simulation.nodes.first { it != leader }
+        val body =
+            operatorJson.encodeToString(
+                DrainRequest.serializer(),
+                DrainRequest("d1", scenario.ordinary(), graceS = 10.0),
+            )
+        simulation.network.blockPath(leader, follower)
+        var response: Pair<Int?, String>? = null
+        simulation.sendOperatorRequest("POST", DrainPaths.DRAINS, body, follower) { status, text ->
+            response = status to text
+        }
+        simulation.run(scenario.clock.now + 4.seconds)
+        simulation.network.unblockPath(leader, follower)
+        assertEquals(503, response?.first, "status of the response")
+        val error = operatorJson.decodeFromString(DrainError.serializer(), response!!.second)
+        assertEquals(true, error.outcomeUnknown, "whether the outcome is unknown")
+        assertNotNull(scenario.stored(), "the drain that the leader started")
+    }
+
     @Test
     fun `with drains switched off, controllers neither read nor write drains`() {
         val enabledRequests = storeRequests(OperatorSettings(drain = DrainSettings()))
