One limit for how many machines are decommissioned at once

The rule that many machines with the same problem point to the network stood in three places, once with its divisor written out.

--- a/src/main/kotlin/wardmux/fleet/MachineHealthMonitor.kt
+++ b/src/main/kotlin/wardmux/fleet/MachineHealthMonitor.kt
@@ -140,32 +140,30 @@
      * unless only their probes fail.
      */
     private fun decommission(candidates: DecommissionCandidates, up: Int) {
-        val maxAtOnce = maxOf(MIN_BULK_LIMIT, up / BULK_LIMIT_DIVISOR)
         val maxDuration = leaseExpiry.maxLeaseDuration * 2.0
-        for (machine in candidates.withExpiredLease) {
-            decommissioner.decommission(machine, DecommissionReason.LEASE_EXPIRED)
-        }
-        for (machine in candidates.silent) {
-            val silence = context.now - (machine.lastHeartbeatAt ?: continue)
-            if (candidates.silent.size <= maxAtOnce || silence > maxDuration)
-                decommissioner.decommission(machine, DecommissionReason.SILENT)
-        }
-        if (
-            candidates.unreachable.size <=
-                maxOf(MIN_BULK_LIMIT, up / UNREACHABLE_BULK_LIMIT_DIVISOR)
-        ) {
-            for (machine in candidates.unreachable) {
-                decommissioner.decommission(machine, DecommissionReason.SILENT_AND_UNREACHABLE)
-            }
-        }
-        for (machine in candidates.withUnlistedStart) {
-            if (
-                candidates.withUnlistedStart.size <= maxAtOnce || unlistedFor(machine) > maxDuration
-            )
-                decommissioner.decommission(machine, DecommissionReason.STARTS_NOT_REPORTED)
-        }
+        decommissionAll(candidates.withExpiredLease, DecommissionReason.LEASE_EXPIRED)
+        val maySilent = BulkLimit.DEFAULT.allows(candidates.silent.size, up)
+        decommissionAll(
+            candidates.silent.filter { maySilent || silenceOf(it) > maxDuration },
+            DecommissionReason.SILENT,
+        )
+        if (BulkLimit.UNREACHABLE.allows(candidates.unreachable.size, up))
+            decommissionAll(candidates.unreachable, DecommissionReason.SILENT_AND_UNREACHABLE)
+        val mayUnlisted = BulkLimit.DEFAULT.allows(candidates.withUnlistedStart.size, up)
+        decommissionAll(
+            candidates.withUnlistedStart.filter { mayUnlisted || unlistedFor(it) > maxDuration },
+            DecommissionReason.STARTS_NOT_REPORTED,
+        )
+    }
+
+    private fun decommissionAll(machines: List<Machine>, reason: String) {
+        for (machine in machines) decommissioner.decommission(machine, reason)
     }
 
+    /** How long ago [machine] sent its last heartbeat; zero if it sent none. */
+    private fun silenceOf(machine: Machine): Micros =
+        context.now - (machine.lastHeartbeatAt ?: context.now)
+
     /**
      * For how long heartbeats of [machine] have arrived without listing a task whose start was
      * sent; zero if there is no such task. The start may still be in flight, so only deleting the
@@ -221,18 +219,6 @@
          */
         val PREEMPTION_MARGIN = 1.seconds
 
-        /** This many machines with the same problem are always decommissioned together. */
-        const val MIN_BULK_LIMIT = 2
-
-        /**
-         * The limit above which machines are kept is the number of machines that are up, divided by
-         * this. If more than that have the same problem, none of them is decommissioned for it.
-         */
-        const val BULK_LIMIT_DIVISOR = 3
-
-        /** Replaces [BULK_LIMIT_DIVISOR] for silent machines whose probe failed. */
-        const val UNREACHABLE_BULK_LIMIT_DIVISOR = 5
-
         /** With fewer machines, their silence does not show that this controller is cut off. */
         const val MIN_MACHINES_FOR_PARTITION_CHECK = 4
 
--- a/src/main/kotlin/wardmux/fleet/UnconfirmedMachineMonitor.kt
+++ b/src/main/kotlin/wardmux/fleet/UnconfirmedMachineMonitor.kt
@@ -110,12 +110,12 @@
                     it.placements.isEmpty() &&
                     listedFor(it) > longFirstHeartbeatTimeout
             }
-        val maxAtOnce =
-            maxOf(MIN_BULK_LIMIT, cluster.machines.values.count { it.isUp } / BULK_LIMIT_DIVISOR)
+        val up = cluster.machines.values.count { it.isUp }
+        val mayDecommissionAll = BulkLimit.DEFAULT.allows(overdue.size, up)
         for (machine in overdue) {
             machine.hasOverdueFirstHeartbeat = true
             val isLongOverdue = listedFor(machine) > longFirstHeartbeatTimeout * 2.0
-            if (overdue.size <= maxAtOnce || isLongOverdue)
+            if (mayDecommissionAll || isLongOverdue)
                 decommissioner.decommission(machine, DecommissionReason.NEVER_REPORTED)
         }
     }
@@ -131,15 +131,6 @@
     }
 
     private companion object {
-        /** This many machines without a first heartbeat are always decommissioned together. */
-        const val MIN_BULK_LIMIT = 2
-
-        /**
-         * With more than the number of machines that are up, divided by this, the machines get more
-         * time.
-         */
-        const val BULK_LIMIT_DIVISOR = 3
-
         /**
          * How long a worker waits for a response to its heartbeat before it tries another
          * controller.
