--- a/src/test/kotlin/wardmux/sim/LateStartCopiesTest.kt
+++ b/src/test/kotlin/wardmux/sim/LateStartCopiesTest.kt
@@ -6,6 +6,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
 import wardmux.model.JobKind
+import wardmux.model.PriorityClass
 import wardmux.model.milliseconds
 import wardmux.model.seconds
 
@@ -22,6 +23,8 @@
         CANCELLED,
         /** The worker lists the ended attempt, and the next one runs elsewhere. */
         MOVED,
+        /** The worker lists the ended attempt, and the next one waits for urgent work to end. */
+        STOPPED,
         /** The worker lists the failed attempt, and the next one runs elsewhere. */
         FAILED,
         /** The worker keeps the result. */
@@ -78,6 +81,7 @@
                 Event.DONE -> Unit
                 Event.FAILED -> workersOfJob().take(1).forEach { it.failRunningTasks(job.id) }
                 Event.MOVED -> moveTasks()
+                Event.STOPPED -> simulation.submit(urgentJob())
                 Event.LEADER_BACK_AT_ONCE -> {
                     simulation.leader()?.let { simulation.crash(it, 300.milliseconds) }
                     clock.after(1.seconds) { simulation.cancel(job.id) }
@@ -105,7 +109,13 @@
             }
         }
 
-        /** Each command stops the tasks as a drain of the machine does, with time to save. */
+        /** Urgent work that takes all of the team's quota. */
+        private fun urgentJob() =
+            simulation
+                .unconstrainedJob(JobKind.ARRAY, "team-0", 40, cpus = 1.0, estimateS = 30.0)
+                .copy(priority = PriorityClass.PROD)
+
+        /** The preemption notice of a machine stops its tasks, with time to save. */
         private fun moveTasks() {
             for (worker in workersOfJob().take(1)) worker.recallS = 60.0
         }
@@ -125,6 +135,7 @@
             val state = simulation.invariants.finalStateOf(job.id)
             when (event) {
                 Event.MOVED,
+                Event.STOPPED,
                 Event.FAILED,
                 Event.MACHINE_BACK_AFTER_ITS_LEASE ->
                     assertTrue(laterAttempts > 0, "expected second attempts")
